The thin whole path, across separate processes

Cause: the repository was empty; a caller's job has to reach a worker and come back through entry, scheduler and worker as processes of their own.

Change: the kernel (cells, guarantees, planner, log fold, links), the three platform adapter families, the resident scheduler and entry, stand-ins for log, workers and instance list, and a harness that starts them on loopback.

Found on the way and mended, each by the run that showed it: a link whose connection ended raised out of its task group and took its process along; a claim that the guarantees forbid ended the scheduler instead of the decision; a gang larger than its organisation's guarantee, of work that cannot be stopped, never ran because guaranteed and unclaimed cells did not mix.

Measured: `make test`, 7 passed: gangs of 1, 4 and 16 members, idempotent and not, through two zones of two instances; a retry through each of the four entries is one job that started once. No speed was measured.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,29 @@
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+SEED ?= 1
+DURATION_S ?= 120
+
+.PHONY: setup demo test lint bench slopes plots soak load clean
+
+setup: $(VENV)/.installed
+
+$(VENV)/.installed: requirements.lock pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/python -m pip install --quiet --disable-pip-version-check -r requirements.lock
+	$(BIN)/python -m pip install --quiet --disable-pip-version-check --no-build-isolation --no-deps -e .
+	touch $@
+
+demo: setup
+	$(BIN)/python -m standins.demo
+
+test: setup
+	$(BIN)/python -m pytest
+
+lint: setup
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+	$(BIN)/mypy
+
+clean:
+	rm -rf $(VENV) build *.egg-info
--- /dev/null
+++ b/lagoonbeam/admission/bounded.py
@@ -0,0 +1,50 @@
+"""Bounded queues, and no promise that the expected wait would break."""
+
+from __future__ import annotations
+
+from lagoonbeam.admission.base import ADMISSIONS, AdmissionPolicy, QueueView
+from lagoonbeam.core.jobs import Job
+from lagoonbeam.core.rules import RulesDocument
+from lagoonbeam.errors import DeadlineUnreachableError, QueueFullError
+
+_RETRY_AFTER_S = 5.0
+"""Shortest wait suggested to a refused caller."""
+
+
+@ADMISSIONS.register("bounded")
+class BoundedAdmission(AdmissionPolicy):
+    """Refuses what exceeds a queue bound or cannot start in time."""
+
+    def check(self, job: Job, rules: RulesDocument, view: QueueView) -> None:
+        """Checks the organisation, the caller, the kind and the wait."""
+        organisation = rules.get_organisation(job.organisation)
+        if organisation is None:
+            return
+        kind = next(k for k in organisation.kinds if k.name == job.kind)
+        bounds = [
+            (
+                "organisation",
+                view.queued_by_organisation,
+                organisation.max_queued,
+            ),
+            (
+                "caller",
+                view.queued_by_caller,
+                organisation.max_queued_per_caller,
+            ),
+            ("kind", view.queued_by_kind, kind.max_queued),
+        ]
+        retry_after_s = max(_RETRY_AFTER_S, view.expected_wait_s)
+        for name, queued, bound in bounds:
+            if queued >= bound:
+                raise QueueFullError(
+                    f"the {name} has {queued} unfinished jobs, expected fewer"
+                    f" than {bound}",
+                    retry_after_s=retry_after_s,
+                )
+        if job.start_within_s and view.expected_wait_s > job.start_within_s:
+            raise DeadlineUnreachableError(
+                f"expected wait is {view.expected_wait_s:.1f} s, the job must"
+                f" start within {job.start_within_s:.1f} s",
+                retry_after_s=retry_after_s,
+            )
--- /dev/null
+++ b/lagoonbeam/admission/unbounded.py
@@ -0,0 +1,15 @@
+"""The baseline: everything is accepted."""
+
+from __future__ import annotations
+
+from lagoonbeam.admission.base import ADMISSIONS, AdmissionPolicy, QueueView
+from lagoonbeam.core.jobs import Job
+from lagoonbeam.core.rules import RulesDocument
+
+
+@ADMISSIONS.register("unbounded")
+class UnboundedAdmission(AdmissionPolicy):
+    """Refuses nothing."""
+
+    def check(self, job: Job, rules: RulesDocument, view: QueueView) -> None:
+        """Accepts."""
--- /dev/null
+++ b/lagoonbeam/commands/running.py
@@ -0,0 +1,53 @@
+"""What the resident programs share: settings, signals and drain."""
+
+from __future__ import annotations
+
+import os
+import signal
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from typing import TypeVar
+
+import anyio
+import typer
+
+from lagoonbeam.core.settings import Settings, load_settings
+from lagoonbeam.errors import SettingsError
+
+EXIT_FAILED = 1
+EXIT_USAGE = 2
+EXIT_UNREACHABLE = 3
+
+SettingsT = TypeVar("SettingsT", bound=Settings)
+
+
+def read_settings(path: Path, kind: type[SettingsT]) -> SettingsT:
+    """Reads a settings file, or ends the program listing all its faults."""
+    try:
+        return load_settings(path, kind)
+    except SettingsError as error:
+        typer.echo(error.detail, err=True)
+        raise typer.Exit(EXIT_USAGE) from error
+
+
+async def watch_signals(drain: Callable[[], Awaitable[None]]) -> None:
+    """Drains on the first SIGTERM or SIGINT; a second ends at once.
+
+    Args:
+        drain: Finishes what is in flight; the program ends when it returns.
+    """
+    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        async with anyio.create_task_group() as tasks:
+            seen = 0
+            async for _ in signals:
+                seen += 1
+                if seen > 1:
+                    os._exit(EXIT_FAILED)
+                tasks.start_soon(_drain_and_cancel, drain, tasks)
+
+
+async def _drain_and_cancel(
+    drain: Callable[[], Awaitable[None]], tasks: anyio.abc.TaskGroup
+) -> None:
+    await drain()
+    tasks.cancel_scope.cancel()
--- /dev/null
+++ b/lagoonbeam/core/__init__.py
@@ -0,0 +1,1 @@
+"""What the programs and plug-ins are built on."""
--- /dev/null
+++ b/lagoonbeam/core/clock.py
@@ -0,0 +1,45 @@
+"""A hybrid logical clock: wall time that never runs against causality."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, order=True)
+class Stamp:
+    """A point on the time line.
+
+    Attributes:
+        wall_s: Largest wall clock time seen.
+        counter: Orders events of the same wall time.
+    """
+
+    wall_s: float = 0.0
+    counter: int = 0
+
+
+class HybridClock:
+    """Issues stamps that grow and follow every stamp observed.
+
+    Args:
+        now: Source of wall clock time in seconds.
+    """
+
+    def __init__(self, now: Callable[[], float] = time.time):
+        self._now = now
+        self._last = Stamp()
+
+    def tick(self) -> Stamp:
+        """Returns a stamp later than all issued or observed before."""
+        now_s = self._now()
+        if now_s > self._last.wall_s:
+            self._last = Stamp(now_s, 0)
+        else:
+            self._last = Stamp(self._last.wall_s, self._last.counter + 1)
+        return self._last
+
+    def observe(self, stamp: Stamp) -> None:
+        """Moves the clock past a stamp of another process."""
+        self._last = max(self._last, stamp)
--- /dev/null
+++ b/lagoonbeam/core/estimates.py
@@ -0,0 +1,50 @@
+"""Run times, corrected by what each kind of work was seen to take."""
+
+from __future__ import annotations
+
+import math
+
+from lagoonbeam.core.jobs import Job
+
+_SMOOTHING = 0.2
+"""Weight of the newest observation."""
+_LIMIT = math.log(100.0)
+"""Corrections stay within a factor of 100."""
+
+
+class RunTimeEstimator:
+    """Learns for each organisation and kind how far declarations are off.
+
+    Example:
+        >>> from lagoonbeam.core.jobs import Job
+        >>> estimator = RunTimeEstimator()
+        >>> job = Job("j", "org", "caller", "kind", declared_run_s=10)
+        >>> estimator.estimate(job)
+        10.0
+        >>> estimator.observe(job, 100.0)
+        >>> round(estimator.estimate(job))
+        100
+    """
+
+    def __init__(self) -> None:
+        self._log_ratio: dict[tuple[str, str], float] = {}
+
+    def estimate(self, job: Job) -> float:
+        """Returns the expected run time of a job in seconds."""
+        log_ratio = self._log_ratio.get((job.organisation, job.kind), 0.0)
+        return max(0.001, job.declared_run_s) * math.exp(log_ratio)
+
+    def observe(self, job: Job, run_s: float) -> None:
+        """Learns from a job that completed.
+
+        Args:
+            job: The job.
+            run_s: Seconds it ran.
+        """
+        key = (job.organisation, job.kind)
+        seen = math.log(max(0.001, run_s) / max(0.001, job.declared_run_s))
+        seen = max(-_LIMIT, min(_LIMIT, seen))
+        known = self._log_ratio.get(key)
+        self._log_ratio[key] = (
+            seen if known is None else known + _SMOOTHING * (seen - known)
+        )
--- /dev/null
+++ b/lagoonbeam/core/http.py
@@ -0,0 +1,24 @@
+"""HTTP clients for the platform's services."""
+
+from __future__ import annotations
+
+import functools
+import ssl
+
+import httpx
+
+
+@functools.cache
+def _get_ssl_context() -> ssl.SSLContext:
+    return httpx.create_ssl_context(trust_env=False)
+
+
+def make_client(*, timeout_s: float) -> httpx.AsyncClient:
+    """Returns a client; all clients share one TLS context.
+
+    Args:
+        timeout_s: Deadline of each step of a request that sets no other.
+    """
+    return httpx.AsyncClient(
+        timeout=timeout_s, trust_env=False, verify=_get_ssl_context()
+    )
--- /dev/null
+++ b/lagoonbeam/core/link.py
@@ -0,0 +1,303 @@
+"""Connections between processes: calls with deadlines over TCP.
+
+A frame is its length in four bytes, then the frame. One task reads a
+connection; each call waits for its own reply and gives up at its deadline.
+"""
+
+from __future__ import annotations
+
+import struct
+from collections.abc import Awaitable, Callable
+from types import TracebackType
+
+import anyio
+import anyio.abc
+import capnp
+import msgspec
+
+from lagoonbeam.core.clock import HybridClock
+from lagoonbeam.core.messages import (
+    MAX_FRAME_BYTES,
+    Frame,
+    Message,
+    Refusal,
+    decode_frame,
+    encode_frame,
+)
+from lagoonbeam.errors import (
+    LagoonbeamError,
+    LinkClosedError,
+    LinkTimeoutError,
+    make_error,
+)
+
+DIAL_TIMEOUT_S = 1.0
+"""Seconds to wait for a connection."""
+CALL_TIMEOUT_S = 2.0
+"""Seconds to wait for a reply when the caller sets no other deadline."""
+SEND_TIMEOUT_S = 2.0
+"""Seconds a write may block before the link is abandoned."""
+
+Handler = Callable[[Message], Awaitable[Message]]
+
+_LENGTH = struct.Struct("<I")
+
+
+class Link:
+    """One connection, used by both ends for calls and notices.
+
+    Args:
+        stream: The connected stream.
+        clock: The process's clock; frames carry its stamps.
+        handler: Answers the other side's calls.
+    """
+
+    def __init__(
+        self,
+        stream: anyio.abc.ByteStream,
+        *,
+        clock: HybridClock,
+        handler: Handler,
+    ):
+        self._stream = stream
+        self._clock = clock
+        self._handler = handler
+        self._buffer = bytearray()
+        self._send_lock = anyio.Lock()
+        self._next_call_id = 1
+        self._waiting: dict[int, tuple[anyio.Event, list[Message]]] = {}
+        self.closed = False
+        self.received_bytes = 0
+        self.sent_bytes = 0
+
+    async def run(self) -> None:
+        """Reads frames until the connection ends.
+
+        Calls of the other side that are being answered are finished first.
+        """
+        async with anyio.create_task_group() as tasks:
+            try:
+                while True:
+                    frame = await self._receive()
+                    self._clock.observe(frame.stamp)
+                    if frame.is_reply:
+                        self._deliver(frame)
+                    else:
+                        tasks.start_soon(self._serve, frame)
+            except (
+                anyio.EndOfStream,
+                anyio.BrokenResourceError,
+                anyio.ClosedResourceError,
+                capnp.KjException,
+                msgspec.ValidationError,
+            ):
+                pass
+            finally:
+                await self.close()
+
+    async def call(
+        self, message: Message, *, timeout_s: float = CALL_TIMEOUT_S
+    ) -> Message:
+        """Sends a message and waits for its reply.
+
+        Args:
+            message: What to send.
+            timeout_s: Seconds to wait for the reply.
+
+        Returns:
+            The reply.
+
+        Raises:
+            LinkTimeoutError: If no reply came in time. The call may have had
+                its effect.
+            LinkClosedError: If the connection ended before the reply.
+            LagoonbeamError: What the other side refused with.
+        """
+        call_id = self._next_call_id
+        self._next_call_id += 1
+        arrived, box = anyio.Event(), []  # type: tuple[anyio.Event, list[Message]]
+        self._waiting[call_id] = (arrived, box)
+        try:
+            with anyio.fail_after(timeout_s):
+                await self._send(call_id, message)
+                await arrived.wait()
+        except TimeoutError as error:
+            raise LinkTimeoutError(
+                f"no reply to {type(message).__name__} in {timeout_s} s"
+            ) from error
+        finally:
+            self._waiting.pop(call_id, None)
+        if not box:
+            raise LinkClosedError("the connection ended before the reply")
+        reply = box[0]
+        if isinstance(reply, Refusal):
+            raise make_error(
+                code=reply.code,
+                detail=reply.detail,
+                retry_after_s=reply.retry_after_s,
+            )
+        return reply
+
+    async def notify(self, message: Message) -> None:
+        """Sends a message that expects no reply.
+
+        Raises:
+            LinkClosedError: If the connection has ended.
+        """
+        await self._send(0, message)
+
+    async def close(self) -> None:
+        """Ends the connection and every call that waits on it."""
+        if self.closed:
+            return
+        self.closed = True
+        for arrived, _ in self._waiting.values():
+            arrived.set()
+        with anyio.move_on_after(1, shield=True):
+            await anyio.aclose_forcefully(self._stream)
+
+    def _deliver(self, frame: Frame) -> None:
+        waiting = self._waiting.get(frame.call_id)
+        if waiting is None:
+            return
+        arrived, box = waiting
+        box.append(frame.message)
+        arrived.set()
+
+    async def _serve(self, frame: Frame) -> None:
+        try:
+            reply = await self._handler(frame.message)
+        except LagoonbeamError as error:
+            reply = Refusal(error.code, error.detail, error.retry_after_s)
+        if frame.call_id and not self.closed:
+            try:
+                await self._send(frame.call_id, reply, is_reply=True)
+            except LinkClosedError:
+                return
+
+    async def _send(
+        self, call_id: int, message: Message, *, is_reply: bool = False
+    ) -> None:
+        if self.closed:
+            raise LinkClosedError("the connection is closed")
+        stamp = self._clock.tick()
+        data = encode_frame(Frame(call_id, is_reply, stamp, message))
+        with anyio.move_on_after(SEND_TIMEOUT_S) as scope:
+            try:
+                async with self._send_lock:
+                    await self._stream.send(_LENGTH.pack(len(data)) + data)
+            except (anyio.BrokenResourceError, anyio.ClosedResourceError) as e:
+                await self.close()
+                raise LinkClosedError("the connection broke") from e
+        if scope.cancelled_caught:
+            await self.close()
+            raise LinkClosedError("the other side stopped reading")
+        self.sent_bytes += len(data) + _LENGTH.size
+
+    async def _receive(self) -> Frame:
+        (length,) = _LENGTH.unpack(await self._read(_LENGTH.size))
+        if length > MAX_FRAME_BYTES:
+            raise anyio.EndOfStream
+        return decode_frame(await self._read(length))
+
+    async def _read(self, count: int) -> bytes:
+        while len(self._buffer) < count:
+            chunk = await self._stream.receive(65_536)
+            self.received_bytes += len(chunk)
+            self._buffer += chunk
+        data = bytes(self._buffer[:count])
+        del self._buffer[:count]
+        return data
+
+
+async def dial(
+    host: str, port: int, *, clock: HybridClock, handler: Handler
+) -> Link:
+    """Connects to another process.
+
+    Args:
+        host: IP number.
+        port: TCP port.
+        clock: The process's clock.
+        handler: Answers the other side's calls.
+
+    Returns:
+        The link; its `run` must be started by the caller.
+
+    Raises:
+        LinkClosedError: If there is no connection within `DIAL_TIMEOUT_S`.
+    """
+    try:
+        with anyio.fail_after(DIAL_TIMEOUT_S):
+            stream = await anyio.connect_tcp(host, port)
+    except (OSError, TimeoutError) as error:
+        raise LinkClosedError(f"cannot connect to {host}:{port}") from error
+    return Link(stream, clock=clock, handler=handler)
+
+
+async def refuse_calls(message: Message) -> Message:
+    """A handler for links that only make calls."""
+    return Refusal("invalid_request", f"unexpected {type(message).__name__}")
+
+
+class Caller:
+    """Keeps one link to a process and makes calls over it.
+
+    A link that stays silent is abandoned and a new one dialled.
+
+    Args:
+        host: IP number.
+        port: TCP port.
+        clock: The process's clock.
+        tasks: Where the reading tasks run.
+    """
+
+    def __init__(
+        self,
+        host: str,
+        port: int,
+        *,
+        clock: HybridClock,
+        tasks: anyio.abc.TaskGroup,
+    ):
+        self._address = (host, port)
+        self._clock = clock
+        self._tasks = tasks
+        self._link: Link | None = None
+        self._dial_lock = anyio.Lock()
+
+    async def __aenter__(self) -> Caller:
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        await self.close()
+
+    async def call(
+        self, message: Message, *, timeout_s: float = CALL_TIMEOUT_S
+    ) -> Message:
+        """Makes a call over the current or a new link; see `Link.call`."""
+        link = await self._get_link()
+        try:
+            return await link.call(message, timeout_s=timeout_s)
+        except LinkTimeoutError:
+            await link.close()
+            raise
+
+    async def close(self) -> None:
+        """Ends the link."""
+        if self._link is not None:
+            await self._link.close()
+
+    async def _get_link(self) -> Link:
+        async with self._dial_lock:
+            if self._link is None or self._link.closed:
+                self._link = await dial(
+                    *self._address, clock=self._clock, handler=refuse_calls
+                )
+                self._tasks.start_soon(self._link.run)
+            return self._link
--- /dev/null
+++ b/lagoonbeam/core/messages.py
@@ -0,0 +1,363 @@
+"""Typed messages between lagoonbeam's processes, carried as Cap'n Proto.
+
+The schema is ``messages.capnp`` beside this module; it is loaded when the
+module is imported, without a generator. Fields have the same names in both,
+in the case of each language.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import re
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+import capnp
+import msgspec
+
+from lagoonbeam.core.clock import Stamp
+from lagoonbeam.core.jobs import Job, JobStatus
+
+_SCHEMA = capnp.load(str(Path(__file__).with_name("messages.capnp")))
+MAX_FRAME_BYTES = 64 << 20
+"""Longest frame that is read."""
+
+
+@dataclass(frozen=True)
+class Refusal:
+    """Answer of a call that failed; carries an error of the tree."""
+
+    code: str
+    detail: str = ""
+    retry_after_s: float = 0.0
+
+
+@dataclass(frozen=True)
+class Acknowledgement:
+    """Answer of a call that has nothing to say."""
+
+
+@dataclass(frozen=True)
+class Heartbeat:
+    """What an instance tells its peers at a steady rate.
+
+    Attributes:
+        instance: The sender.
+        availability_zone: Its zone.
+        active: Whether it is the active scheduler of its zone.
+        term_number: Number of the newest term it knows for its zone.
+        term_instance: Instance of that term.
+        next_offset: How far it has folded the log.
+        rules_version: Version of the rules it has in force.
+        ready: Whether it has caught up and takes work.
+        log_up: Whether it reaches the log.
+        free_slots: Free slots of its zone, if active.
+        total_slots: All slots of its zone, if active.
+        largest_free_slots: Largest free cell, if active.
+        queued_slots: Slots that queued jobs want, if active.
+        expected_wait_s: Expected wait of a new job, if active.
+        wall_s: Wall part of its hybrid logical time.
+        counter: Logical part of it.
+        draining: Whether it is shutting down.
+        max_members: Largest gang of single-slot members its zone holds.
+    """
+
+    instance: str
+    availability_zone: str
+    active: bool = False
+    term_number: int = 0
+    term_instance: str = ""
+    next_offset: int = 0
+    rules_version: int = 0
+    ready: bool = False
+    log_up: bool = False
+    free_slots: int = 0
+    total_slots: int = 0
+    largest_free_slots: int = 0
+    queued_slots: int = 0
+    expected_wait_s: float = 0.0
+    wall_s: float = 0.0
+    counter: int = 0
+    draining: bool = False
+    max_members: int = 0
+
+
+@dataclass(frozen=True)
+class SubmitJob:
+    """A caller's job, from an entry to its scheduler."""
+
+    job: Job
+
+
+@dataclass(frozen=True)
+class EnqueueJob:
+    """An accepted job, to the active scheduler of its zone."""
+
+    job: Job
+    durability: str = "log"
+
+
+@dataclass(frozen=True)
+class WaitJob:
+    """Asks for a job's status, at the latest after `wait_s`."""
+
+    job_id: str
+    wait_s: float = 0.0
+
+
+@dataclass(frozen=True)
+class CancelJob:
+    """Asks to cancel a job."""
+
+    job_id: str
+
+
+@dataclass(frozen=True)
+class ListJobs:
+    """Asks for the latest jobs of an organisation (empty for all)."""
+
+    organisation: str = ""
+    limit: int = 100
+
+
+@dataclass(frozen=True)
+class JobList:
+    """Answer of `ListJobs`."""
+
+    jobs: list[JobStatus] = field(default_factory=list)
+
+
+@dataclass(frozen=True)
+class FinishNotice:
+    """Tells peers a job's status ahead of the log."""
+
+    status: JobStatus
+
+
+@dataclass(frozen=True)
+class PublishRules:
+    """Asks to publish a rules document."""
+
+    document: str
+    author: str = ""
+
+
+@dataclass(frozen=True)
+class GetRules:
+    """Asks for the rules in force."""
+
+
+@dataclass(frozen=True)
+class RulesStatus:
+    """The rules in force."""
+
+    version: int = 0
+    document: str = ""
+
+
+@dataclass(frozen=True)
+class GetInstances:
+    """Asks for what is known of all instances."""
+
+
+@dataclass(frozen=True)
+class InstanceList:
+    """Answer of `GetInstances`: the latest heartbeat of each."""
+
+    instances: list[Heartbeat] = field(default_factory=list)
+
+
+@dataclass(frozen=True)
+class GetFleet:
+    """Asks for the workers of a zone (empty for the scheduler's own)."""
+
+    availability_zone: str = ""
+
+
+@dataclass(frozen=True)
+class WorkerStatus:
+    """What the active scheduler knows of a worker."""
+
+    worker: str
+    availability_zone: str = ""
+    rack: str = ""
+    state: str = ""
+    slots: int = 0
+    busy_slots: int = 0
+
+
+@dataclass(frozen=True)
+class FleetStatus:
+    """Answer of `GetFleet`."""
+
+    workers: list[WorkerStatus] = field(default_factory=list)
+
+
+@dataclass(frozen=True)
+class DrainEndpoint:
+    """Asks to give a worker no new work."""
+
+    worker: str
+    availability_zone: str = ""
+
+
+@dataclass(frozen=True)
+class GetEvents:
+    """Asks for the events kept after a sequence number."""
+
+    after: int = 0
+
+
+@dataclass(frozen=True)
+class EventList:
+    """Answer of `GetEvents`: events as JSON."""
+
+    events: bytes = b"[]"
+
+
+@dataclass(frozen=True)
+class LogEntry:
+    """One entry of the log."""
+
+    offset: int
+    data: bytes
+
+
+@dataclass(frozen=True)
+class RelayEntries:
+    """Entries of the log, passed on to a peer that may lag."""
+
+    entries: list[LogEntry] = field(default_factory=list)
+
+
+@dataclass(frozen=True)
+class FetchState:
+    """Asks a peer for its folded state."""
+
+
+@dataclass(frozen=True)
+class StateImage:
+    """Answer of `FetchState`."""
+
+    data: bytes
+
+
+Message = (
+    Refusal
+    | Acknowledgement
+    | Heartbeat
+    | SubmitJob
+    | EnqueueJob
+    | WaitJob
+    | CancelJob
+    | ListJobs
+    | JobList
+    | JobStatus
+    | FinishNotice
+    | PublishRules
+    | GetRules
+    | RulesStatus
+    | GetInstances
+    | InstanceList
+    | GetFleet
+    | FleetStatus
+    | DrainEndpoint
+    | GetEvents
+    | EventList
+    | RelayEntries
+    | FetchState
+    | StateImage
+)
+
+
+@dataclass(frozen=True)
+class Frame:
+    """A message on its way.
+
+    Attributes:
+        call_id: Pairs a reply with its call; 0 expects no reply.
+        is_reply: Whether this is the reply.
+        stamp: The sender's hybrid logical time.
+        message: The message.
+    """
+
+    call_id: int
+    is_reply: bool
+    stamp: Stamp
+    message: Message
+
+
+def _to_camel(name: str) -> str:
+    head, *tail = name.split("_")
+    return head + "".join(part.capitalize() for part in tail)
+
+
+def _to_snake(name: str) -> str:
+    return re.sub(r"([A-Z])", lambda match: "_" + match[1].lower(), name)
+
+
+_MESSAGE_TYPES: dict[str, type] = {
+    kind.__name__[0].lower() + kind.__name__[1:]: kind
+    for kind in Message.__args__
+}
+_BRANCHES = {kind: name for name, kind in _MESSAGE_TYPES.items()}
+_CAMEL: dict[str, str] = {}
+_SNAKE: dict[str, str] = {}
+
+
+def _encode_value(value: Any) -> Any:
+    if dataclasses.is_dataclass(value):
+        return {
+            _CAMEL.setdefault(item.name, _to_camel(item.name)): _encode_value(
+                getattr(value, item.name)
+            )
+            for item in dataclasses.fields(value)
+        }
+    if isinstance(value, list):
+        return [_encode_value(item) for item in value]
+    return value
+
+
+def _decode_value(value: Any) -> Any:
+    if isinstance(value, dict):
+        return {
+            _SNAKE.setdefault(name, _to_snake(name)): _decode_value(item)
+            for name, item in value.items()
+        }
+    if isinstance(value, list):
+        return [_decode_value(item) for item in value]
+    return value
+
+
+def encode_frame(frame: Frame) -> bytes:
+    """Returns a frame as bytes."""
+    branch = _BRANCHES[type(frame.message)]
+    return _SCHEMA.Frame.new_message(
+        callId=frame.call_id,
+        isReply=frame.is_reply,
+        wallS=frame.stamp.wall_s,
+        counter=frame.stamp.counter,
+        body={branch: _encode_value(frame.message)},
+    ).to_bytes()
+
+
+def decode_frame(data: bytes) -> Frame:
+    """Reads a frame.
+
+    Raises:
+        capnp.KjException: If the bytes are not a frame.
+        msgspec.ValidationError: If a field has another type.
+    """
+    with _SCHEMA.Frame.from_bytes(
+        data, traversal_limit_in_words=MAX_FRAME_BYTES
+    ) as reader:
+        body = reader.body
+        branch = str(body.which())
+        value = _decode_value(getattr(body, branch).to_dict())
+        return Frame(
+            call_id=reader.callId,
+            is_reply=reader.isReply,
+            stamp=Stamp(reader.wallS, reader.counter),
+            message=msgspec.convert(value, _MESSAGE_TYPES[branch]),
+        )
--- /dev/null
+++ b/lagoonbeam/core/settings.py
@@ -0,0 +1,256 @@
+"""Settings of the programs, read from YAML files.
+
+Every field states its unit in its name or here; ``docs/SETTINGS.md`` is made
+from these models.
+"""
+
+from __future__ import annotations
+
+import os
+from pathlib import Path
+from typing import Annotated, Literal, TypeVar
+
+import msgspec
+import yaml
+
+from lagoonbeam.core.validation import validate_settings
+from lagoonbeam.errors import SettingsError
+
+Port = Annotated[int, msgspec.Meta(ge=1, le=65_535)]
+Seconds = Annotated[float, msgspec.Meta(gt=0)]
+Count = Annotated[int, msgspec.Meta(ge=1)]
+Text = Annotated[str, msgspec.Meta(min_length=1)]
+
+
+class Settings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Base of all settings models."""
+
+
+class Address(Settings, frozen=True):
+    """Where a process listens.
+
+    Attributes:
+        port: TCP port.
+        host: IP number.
+    """
+
+    port: Port
+    host: Text = "127.0.0.1"
+
+
+class LogSettings(Settings, frozen=True):
+    """The platform's log.
+
+    Attributes:
+        url: Base URL of the service.
+        plugin: Adapter for its wire form.
+        stream: Stream that the system keeps its records in.
+        linger_s: Time to gather records for one append.
+        snapshot_entries: Entries after which a snapshot is written.
+    """
+
+    url: Text
+    plugin: Text = "http"
+    stream: Text = "lagoonbeam"
+    linger_s: Seconds = 0.02
+    snapshot_entries: Count = 2_000
+
+
+class InstancesSettings(Settings, frozen=True):
+    """The platform's list of instances.
+
+    Attributes:
+        url: URL of the list.
+        plugin: Adapter for its wire form.
+        poll_s: Time between two readings.
+    """
+
+    url: Text
+    plugin: Text = "http"
+    poll_s: Seconds = 1.0
+
+
+class EndpointsSettings(Settings, frozen=True):
+    """The workers.
+
+    Attributes:
+        plugin: Adapter for their wire form.
+        lease_s: Time after which a worker stops a task that nobody renewed.
+        sync_wait_s: Longest wait of one sync; leases are renewed that often.
+        command_timeout_s: Deadline of one command.
+        stop_grace_s: Time a task gets to write its checkpoint.
+    """
+
+    plugin: Text = "http"
+    lease_s: Seconds = 12.0
+    sync_wait_s: Seconds = 4.0
+    command_timeout_s: Seconds = 1.0
+    stop_grace_s: Seconds = 1.0
+
+
+class MetricsSettings(Settings, frozen=True):
+    """Where metrics go.
+
+    Attributes:
+        host: IP number of the statsd server; empty sends nothing.
+        port: Its UDP port.
+        prefix: Put before every name.
+    """
+
+    host: str = ""
+    port: Port = 8125
+    prefix: str = "lagoonbeam"
+
+
+class Peer(Settings, frozen=True):
+    """A scheduler that is known before the instance list can be read.
+
+    Attributes:
+        instance: Its name.
+        availability_zone: Its zone.
+        port: TCP port.
+        host: IP number.
+    """
+
+    instance: Text
+    availability_zone: Text
+    port: Port
+    host: Text = "127.0.0.1"
+
+
+class SchedulerSettings(Settings, frozen=True):
+    """Settings of ``lagoonbeam-scheduler``.
+
+    Attributes:
+        instance: Name of this instance.
+        availability_zone: Its zone.
+        listen: Where it takes connections.
+        log: The platform's log.
+        instances: The platform's list of instances.
+        endpoints: The workers.
+        metrics: Where metrics go.
+        peers: Schedulers known in advance.
+        heartbeat_s: Time between two heartbeats to a peer.
+        takeover_s: Silence of the active scheduler after which another
+            takes over.
+        append_timeout_s: Longest wait for the log to take a record.
+        drain_s: Longest time to finish what is in flight on SIGTERM.
+        job_attempts: Failed runs after which a job is given up.
+        log_level: Least severe level that is logged.
+        fault_points: Named steps at which the process ends at once (tests).
+    """
+
+    instance: Text
+    availability_zone: Text
+    listen: Address
+    log: LogSettings
+    instances: InstancesSettings
+    endpoints: EndpointsSettings = EndpointsSettings()
+    metrics: MetricsSettings = MetricsSettings()
+    peers: tuple[Peer, ...] = ()
+    heartbeat_s: Seconds = 0.5
+    takeover_s: Seconds = 2.0
+    append_timeout_s: Seconds = 3.0
+    drain_s: Seconds = 10.0
+    job_attempts: Count = 3
+    log_level: Literal["DEBUG", "INFO", "WARNING", "ERROR"] = "INFO"
+    fault_points: tuple[Text, ...] = ()
+
+
+class Token(Settings, frozen=True):
+    """Who may call the entry.
+
+    Attributes:
+        role: ``caller`` for an organisation, ``operator`` for operators.
+        organisation: The organisation of a caller's token.
+        token: The secret; or leave it empty and name
+        token_env: the environment variable that holds it.
+    """
+
+    role: Literal["caller", "operator"]
+    organisation: str = ""
+    token: str = ""
+    token_env: str = ""
+
+
+class LimitsSettings(Settings, frozen=True):
+    """Bounds on what callers may send.
+
+    Attributes:
+        body_bytes: Largest request body.
+        header_timeout_s: Longest time to send a request.
+        open_requests: Requests served at a time.
+        wait_s: Longest wait for an answer that a request may ask for.
+    """
+
+    body_bytes: Count = 262_144
+    header_timeout_s: Seconds = 5.0
+    open_requests: Count = 2_000
+    wait_s: Seconds = 3_600.0
+
+
+class EntrySettings(Settings, frozen=True):
+    """Settings of ``lagoonbeam-entry``.
+
+    Attributes:
+        instance: Name of this instance.
+        availability_zone: Its zone.
+        listen: Where it takes HTTP.
+        schedulers: Schedulers to call, the instance's own first.
+        tokens: Who may call.
+        limits: Bounds on what callers may send.
+        metrics: Where metrics go.
+        drain_s: Longest time to finish what is in flight on SIGTERM.
+        log_level: Least severe level that is logged.
+    """
+
+    instance: Text
+    availability_zone: Text
+    listen: Address
+    schedulers: tuple[Address, ...]
+    tokens: tuple[Token, ...]
+    limits: LimitsSettings = LimitsSettings()
+    metrics: MetricsSettings = MetricsSettings()
+    drain_s: Seconds = 30.0
+    log_level: Literal["DEBUG", "INFO", "WARNING", "ERROR"] = "INFO"
+
+
+SettingsT = TypeVar("SettingsT", bound=Settings)
+
+
+def load_settings(path: Path, kind: type[SettingsT]) -> SettingsT:
+    """Reads a settings file.
+
+    Args:
+        path: The YAML file.
+        kind: The model.
+
+    Returns:
+        The valid settings.
+
+    Raises:
+        SettingsError: If the file cannot be read or has faults.
+    """
+    try:
+        data = yaml.safe_load(path.read_text())
+    except OSError as error:
+        raise SettingsError(f"{path}: {error.strerror}") from error
+    except yaml.YAMLError as error:
+        raise SettingsError(f"{path}: {error}") from error
+    return validate_settings(data, kind)
+
+
+def get_secret(token: Token) -> str:
+    """Returns a token's secret from the settings or the environment.
+
+    Raises:
+        SettingsError: If it is in neither.
+    """
+    secret = token.token or os.environ.get(token.token_env, "")
+    if not secret:
+        who = token.organisation or token.role
+        raise SettingsError(
+            f"settings.tokens: the token of {who!r} is empty, expected token"
+            f" or the environment variable of token_env ({token.token_env!r})"
+        )
+    return secret
--- /dev/null
+++ b/lagoonbeam/endpoints/http.py
@@ -0,0 +1,112 @@
+"""Adapter for workers over HTTP and JSON."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from typing import Any
+
+import httpx
+import msgspec
+
+from lagoonbeam.core.http import make_client
+from lagoonbeam.core.records import Term
+from lagoonbeam.endpoints.base import (
+    ENDPOINTS,
+    EndpointDriver,
+    SyncReply,
+    SyncRequest,
+    TaskOrder,
+)
+from lagoonbeam.errors import (
+    StaleTermError,
+    WorkerRefusedError,
+    WorkerUnreachableError,
+)
+from lagoonbeam.types import TaskId
+
+
+class _Reserved(msgspec.Struct):
+    incarnation: str
+
+
+class _Refused(msgspec.Struct):
+    code: str
+    term: Term = Term()
+
+
+@ENDPOINTS.register("http")
+class HttpEndpointDriver(EndpointDriver):
+    """Sends each command as a POST."""
+
+    async def start(self) -> None:
+        """Opens the HTTP client."""
+        self._client = make_client(timeout_s=self.settings.command_timeout_s)
+
+    async def close(self) -> None:
+        """Closes the HTTP client."""
+        await self._client.aclose()
+
+    async def sync(self, request: SyncRequest) -> SyncReply:
+        """Renews leases and returns the worker's state."""
+        content = await self._post("sync", request, wait_s=request.wait_s)
+        return self._decode(content, SyncReply)
+
+    async def reserve(
+        self, term: Term, tasks: Sequence[TaskOrder], *, lease_s: float
+    ) -> str:
+        """Sets slots aside; returns the worker's incarnation."""
+        body = {"term": term, "tasks": tasks, "lease_s": lease_s}
+        content = await self._post("reserve", body)
+        return self._decode(content, _Reserved).incarnation
+
+    async def run(
+        self, term: Term, task_ids: Sequence[TaskId], *, lease_s: float
+    ) -> None:
+        """Runs reserved tasks."""
+        body = {"term": term, "task_ids": task_ids, "lease_s": lease_s}
+        await self._post("start", body)
+
+    async def stop(
+        self, term: Term, task_ids: Sequence[TaskId], *, checkpoint: bool
+    ) -> None:
+        """Releases reserved tasks and stops running ones."""
+        body = {
+            "term": term,
+            "task_ids": task_ids,
+            "checkpoint": checkpoint,
+            "grace_s": self.settings.stop_grace_s,
+        }
+        await self._post("stop", body)
+
+    async def _post(
+        self, command: str, body: Any, wait_s: float = 0.0
+    ) -> bytes:
+        timeout_s = self.settings.command_timeout_s + wait_s
+        try:
+            response = await self._client.post(
+                f"{self.url}/{command}",
+                content=msgspec.json.encode(body),
+                timeout=timeout_s,
+            )
+        except httpx.HTTPError as error:
+            raise WorkerUnreachableError(f"{command}: {error!r}") from error
+        if response.status_code == httpx.codes.CONFLICT:
+            refused = self._decode(response.content, _Refused)
+            if refused.code == "stale_term":
+                raise StaleTermError(
+                    f"the worker obeys {refused.term}",
+                    number=refused.term.number,
+                    instance=refused.term.instance,
+                )
+            raise WorkerRefusedError(refused.code)
+        if response.is_error:
+            raise WorkerUnreachableError(
+                f"{command}: got status {response.status_code}, expected 200"
+            )
+        return response.content
+
+    def _decode(self, content: bytes, kind: Any) -> Any:
+        try:
+            return msgspec.json.decode(content, type=kind)
+        except msgspec.MsgspecError as error:
+            raise WorkerUnreachableError(f"bad answer: {error}") from error
--- /dev/null
+++ b/lagoonbeam/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The resident program that serves callers and operators over HTTP."""
--- /dev/null
+++ b/lagoonbeam/placement/base.py
@@ -0,0 +1,56 @@
+"""What a placement policy must do."""
+
+from __future__ import annotations
+
+from abc import ABC, abstractmethod
+from collections.abc import Iterable
+
+from lagoonbeam.core.cells import Cell, CellSpace
+from lagoonbeam.core.planned import Placement, PlannedJob
+from lagoonbeam.core.pool import Pool
+from lagoonbeam.core.registry import Registry
+from lagoonbeam.preemption.base import PreemptionPolicy
+
+
+class PlacementPolicy(ABC):
+    """Chooses cells for a gang; fill the two methods.
+
+    Attributes:
+        honours_guarantees: Whether work runs on its guarantee where it can.
+    """
+
+    honours_guarantees = True
+
+    @abstractmethod
+    def place_guaranteed(
+        self, pool: Pool, planned: PlannedJob, preemption: PreemptionPolicy
+    ) -> Placement | None:
+        """Returns cells in the organisation's own guarantee, or None."""
+
+    @abstractmethod
+    def place_free(
+        self, pool: Pool, planned: PlannedJob, space: CellSpace
+    ) -> Placement | None:
+        """Returns free cells, or None.
+
+        Args:
+            pool: Where to look.
+            planned: The job.
+            space: The free slots that it may use.
+        """
+
+
+PLACEMENTS: Registry[type[PlacementPolicy]] = Registry("placement policy")
+
+
+def exclude_workers(
+    pool: Pool, cells: Iterable[Cell], excluded: set[str]
+) -> Iterable[Cell]:
+    """Drops cells on workers that a job has failed on."""
+    if not excluded:
+        return cells
+    return (
+        cell
+        for cell in cells
+        if pool.get_worker(cell).shape.worker not in excluded
+    )
--- /dev/null
+++ b/lagoonbeam/preemption/fewest_losses.py
@@ -0,0 +1,39 @@
+"""Stops the work that loses the least of what it has done."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from lagoonbeam.core.planned import PlannedJob, Standing
+from lagoonbeam.preemption.base import PREEMPTIONS, PreemptionPolicy
+from lagoonbeam.types import JobId
+
+_CHECKPOINT_COST_S = 1.0
+"""What a stop costs work that keeps its progress."""
+
+
+@PREEMPTIONS.register("fewest_losses")
+class FewestLossesPreemption(PreemptionPolicy):
+    """Counts the slot seconds that would have to be done again."""
+
+    def weigh(self, victims: Iterable[JobId]) -> float:
+        """Adds up what the victims would lose."""
+        return sum(self._weigh_one(self._find(victim)) for victim in victims)
+
+    def may_preempt(self, planned: PlannedJob, victim: JobId) -> bool:
+        """Allows stopping less urgent lent work."""
+        other = self._find(victim)
+        return (
+            other.placement is not None
+            and other.placement.standing is Standing.LENT
+            and other.rank > planned.rank
+            and not other.waits_for
+        )
+
+    def _weigh_one(self, victim: PlannedJob) -> float:
+        if victim.placement is None:
+            return 0.0
+        done_s = max(0.0, self._now() - victim.started_at_s)
+        if victim.job.checkpointable:
+            done_s = min(done_s, _CHECKPOINT_COST_S)
+        return victim.placement.slots * (_CHECKPOINT_COST_S + done_s)
--- /dev/null
+++ b/lagoonbeam/scheduler/__init__.py
@@ -0,0 +1,1 @@
+"""The resident program that schedules an availability zone."""
--- /dev/null
+++ b/standins/worker.py
@@ -0,0 +1,347 @@
+"""Stand-in for the platform's workers; one process can play several.
+
+All commands carry a term ``{"number", "instance"}``; a term older than the
+newest seen is refused with 409 ``stale_term``. Paths start with ``/NAME``.
+
+``POST reserve`` ``{term, lease_s, tasks: [...]}`` sets slots aside.
+``POST start`` ``{term, lease_s, task_ids}`` runs reserved tasks.
+``POST stop`` ``{term, task_ids, checkpoint, grace_s}`` ends tasks.
+``POST sync`` ``{term, lease_s, renew, forget, seen, wait_s}`` renews leases,
+drops ended tasks and answers when something has changed since revision
+``seen``, at the latest after ``wait_s``.
+
+A task whose lease lapses is stopped by the worker itself. The payload of a
+task is JSON with ``run_s``, ``answer`` and ``fail``. ``GET /history`` tells
+what really ran. ``POST /NAME/faults`` sets any of the fields of `Faults`.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import contextlib
+import dataclasses
+import itertools
+import json
+import time
+from collections.abc import AsyncIterator
+from dataclasses import dataclass, field
+from typing import Any
+
+from starlette.applications import Starlette
+from starlette.requests import Request
+from starlette.responses import JSONResponse, Response
+from starlette.routing import Route
+
+from standins.server import run_server
+
+_TICK_S = 0.02
+ENDED = {"completed", "failed", "stopped", "checkpointed", "lapsed"}
+
+
+@dataclass
+class Faults:
+    """What is wrong now.
+
+    ``down_s`` crashes the worker: its tasks are gone and it answers nothing
+    for that long. ``pause_s`` freezes it with its tasks.
+    """
+
+    fail_all: bool = False
+    silent: bool = False
+    late_s: float = 0.0
+    leaving: bool = False
+    down_s: float = 0.0
+    pause_s: float = 0.0
+    lose_answers: bool = False
+
+
+@dataclass
+class Task:
+    """One member of a gang on this worker."""
+
+    task_id: str
+    job_id: str
+    attempt: str
+    member: int
+    members: int
+    first_slot: int
+    slots: int
+    payload: str
+    annotation: str = ""
+    resume_s: float = 0.0
+    state: str = "reserved"
+    result: str = ""
+    ran_s: float = 0.0
+    lease_until_s: float = 0.0
+    stop_at_s: float = 0.0
+    stop_state: str = ""
+    started: bool = False
+
+    def report(self) -> dict[str, Any]:
+        """What a sync says of it."""
+        names = (
+            "task_id job_id attempt member members first_slot slots state"
+            " result ran_s annotation started"
+        )
+        return {name: getattr(self, name) for name in names.split()}
+
+
+@dataclass
+class Worker:
+    """One worker: its tasks, its newest term and its faults."""
+
+    name: str
+    slots: int
+    history: list[dict[str, Any]]
+    incarnation: int = 1
+    term: tuple[int, str] = (0, "")
+    revision: int = 0
+    tasks: dict[str, Task] = field(default_factory=dict)
+    faults: Faults = field(default_factory=Faults)
+    away_until_s: float = 0.0
+    changed: asyncio.Event = field(default_factory=asyncio.Event)
+    last_tick_s: float = field(default_factory=time.monotonic)
+
+    def touch(self) -> None:
+        """Wakes the syncs that wait for a change."""
+        self.revision += 1
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    def note(self, task: Task, event: str) -> None:
+        """Writes what happened to the history."""
+        self.history.append(
+            {
+                "worker": self.name,
+                "event": event,
+                "at_s": time.time(),
+                "task_id": task.task_id,
+                "job_id": task.job_id,
+                "attempt": task.attempt,
+                "member": task.member,
+                "members": task.members,
+                "annotation": task.annotation if event == "started" else "",
+            }
+        )
+
+    def end(self, task: Task, state: str) -> None:
+        """Ends a task."""
+        if task.state == "running":
+            self.note(task, state)
+        task.state = state
+        self.touch()
+
+    def tick(self) -> None:
+        """Lets the tasks run up to now."""
+        now_s = time.monotonic()
+        passed_s, self.last_tick_s = now_s - self.last_tick_s, now_s
+        if now_s < self.away_until_s:
+            return
+        for task in self.tasks.values():
+            if task.state in ENDED:
+                continue
+            if task.state == "running":
+                self._run(task, min(passed_s, 1.0))
+            if task.state not in ENDED and now_s > task.lease_until_s:
+                self.end(task, "lapsed")
+            elif task.state not in ENDED and 0 < task.stop_at_s <= now_s:
+                self.end(task, task.stop_state)
+
+    def _run(self, task: Task, passed_s: float) -> None:
+        task.ran_s += passed_s
+        order = json.loads(task.payload or "{}")
+        if self.faults.fail_all or order.get("fail"):
+            task.result = "failed as ordered"
+            self.end(task, "failed")
+        elif task.ran_s >= order.get("run_s", 0.1):
+            task.result = f"{order.get('answer', '')}/{task.member}"
+            self.end(task, "completed")
+
+    def crash(self, down_s: float) -> None:
+        """Loses all tasks and stays away."""
+        for task in self.tasks.values():
+            if task.state == "running":
+                self.note(task, "crashed")
+        self.tasks.clear()
+        self.incarnation += 1
+        self.term = (0, "")
+        self.away_until_s = time.monotonic() + down_s
+        self.touch()
+
+
+class WorkerService:
+    """The service behind the HTTP routes."""
+
+    def __init__(self, names: list[str], slots: int):
+        self.history: list[dict[str, Any]] = []
+        self.workers = {
+            name: Worker(name, slots, self.history) for name in names
+        }
+
+    async def run(self) -> None:
+        """Lets time pass for all workers."""
+        while True:
+            for worker in self.workers.values():
+                worker.tick()
+            await asyncio.sleep(_TICK_S)
+
+    async def command(self, request: Request) -> Response:
+        """Obeys one command, unless a fault prevents it."""
+        worker = self.workers[request.path_params["name"]]
+        body = await request.json()
+        while worker.faults.silent or time.monotonic() < worker.away_until_s:
+            await asyncio.sleep(_TICK_S)
+        term = (body["term"]["number"], body["term"]["instance"])
+        if term < worker.term:
+            return self._refuse(worker, "stale_term")
+        if term > worker.term:
+            worker.term = term
+            worker.touch()
+        action = getattr(self, f"_{request.path_params['command']}")
+        response: Response = await action(worker, body)
+        if worker.faults.lose_answers:
+            await asyncio.sleep(3600)
+        return response
+
+    def _refuse(self, worker: Worker, code: str) -> Response:
+        number, instance = worker.term
+        term = {"number": number, "instance": instance}
+        return JSONResponse({"code": code, "term": term}, 409)
+
+    async def _reserve(self, worker: Worker, body: dict[str, Any]) -> Response:
+        if worker.faults.leaving:
+            return self._refuse(worker, "leaving")
+        wanted = [
+            Task(**order)
+            for order in body["tasks"]
+            if order["task_id"] not in worker.tasks
+        ]
+        busy = {
+            slot
+            for task in worker.tasks.values()
+            if task.state not in ENDED
+            for slot in range(task.first_slot, task.first_slot + task.slots)
+        }
+        slots = set(
+            itertools.chain.from_iterable(
+                range(task.first_slot, task.first_slot + task.slots)
+                for task in wanted
+            )
+        )
+        if busy & slots or any(slot >= worker.slots for slot in slots):
+            return self._refuse(worker, "no_room")
+        for task in wanted:
+            task.lease_until_s = time.monotonic() + body["lease_s"]
+            worker.tasks[task.task_id] = task
+        return JSONResponse({"incarnation": str(worker.incarnation)})
+
+    async def _start(self, worker: Worker, body: dict[str, Any]) -> Response:
+        tasks = [worker.tasks.get(task_id) for task_id in body["task_ids"]]
+        if any(task is None or task.state in ENDED for task in tasks):
+            known = [task for task in tasks if task is not None]
+            if len(known) < len(tasks) or any(
+                task.state in ("lapsed", "stopped") for task in known
+            ):
+                return self._refuse(worker, "unknown_task")
+        for task in tasks:
+            if task is not None and task.state == "reserved":
+                task.state = "running"
+                task.started = True
+                task.ran_s = task.resume_s
+                task.lease_until_s = time.monotonic() + body["lease_s"]
+                self.workers[worker.name].note(task, "started")
+        worker.touch()
+        return JSONResponse({})
+
+    async def _stop(self, worker: Worker, body: dict[str, Any]) -> Response:
+        for task_id in body["task_ids"]:
+            task = worker.tasks.get(task_id)
+            if task is None or task.state in ENDED:
+                continue
+            if task.state == "reserved" or not body["checkpoint"]:
+                worker.end(task, "stopped")
+            elif not task.stop_at_s:
+                grace_s = min(0.2, body["grace_s"])
+                task.stop_at_s = time.monotonic() + grace_s
+                task.stop_state = "checkpointed"
+        return JSONResponse({})
+
+    async def _sync(self, worker: Worker, body: dict[str, Any]) -> Response:
+        term = worker.term
+        lease_until_s = time.monotonic() + body["lease_s"]
+        for task_id in body["renew"]:
+            task = worker.tasks.get(task_id)
+            if task is not None and task.state not in ENDED:
+                task.lease_until_s = lease_until_s
+        for task_id in body["forget"]:
+            task = worker.tasks.get(task_id)
+            if task is not None and task.state in ENDED:
+                del worker.tasks[task_id]
+        deadline_s = time.monotonic() + body["wait_s"]
+        while worker.revision == body["seen"] and worker.term == term:
+            left_s = deadline_s - time.monotonic()
+            if left_s <= 0:
+                break
+            try:
+                await asyncio.wait_for(worker.changed.wait(), left_s)
+            except TimeoutError:
+                break
+        if worker.faults.late_s:
+            await asyncio.sleep(worker.faults.late_s)
+        if worker.term != term:
+            return self._refuse(worker, "stale_term")
+        return JSONResponse(
+            {
+                "incarnation": str(worker.incarnation),
+                "revision": worker.revision,
+                "leaving": worker.faults.leaving,
+                "tasks": [task.report() for task in worker.tasks.values()],
+            }
+        )
+
+    async def set_faults(self, request: Request) -> Response:
+        """Switches faults on or off."""
+        worker = self.workers[request.path_params["name"]]
+        changes = await request.json()
+        worker.faults = dataclasses.replace(worker.faults, **changes)
+        if changes.get("down_s"):
+            worker.crash(changes["down_s"])
+        if changes.get("pause_s"):
+            worker.away_until_s = time.monotonic() + changes["pause_s"]
+        worker.touch()
+        return JSONResponse(dataclasses.asdict(worker.faults))
+
+    async def get_history(self, request: Request) -> Response:
+        """Tells what really ran."""
+        return JSONResponse(self.history)
+
+
+def main() -> None:
+    """Runs the stand-in."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--port", type=int, required=True)
+    parser.add_argument("--names", required=True, help="comma-separated")
+    parser.add_argument("--slots", type=int, default=8)
+    arguments = parser.parse_args()
+    service = WorkerService(arguments.names.split(","), arguments.slots)
+
+    @contextlib.asynccontextmanager
+    async def lifespan(_: Starlette) -> AsyncIterator[None]:
+        runner = asyncio.create_task(service.run())
+        yield
+        runner.cancel()
+
+    application = Starlette(
+        routes=[
+            Route("/history", service.get_history),
+            Route("/{name}/faults", service.set_faults, methods=["POST"]),
+            Route("/{name}/{command}", service.command, methods=["POST"]),
+        ],
+        lifespan=lifespan,
+    )
+    run_server(application, arguments.port)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,60 @@
+from __future__ import annotations
+
+import json
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from standins.cluster import Cluster, Plan
+
+FAST = {
+    "heartbeat_s": 0.2,
+    "takeover_s": 1.0,
+    "endpoints": {"lease_s": 3.0, "sync_wait_s": 1.0},
+}
+
+
+def make_rules(zones: list[str], *, based_on: int = 0) -> dict[str, Any]:
+    kinds = [{"name": "edge"}, {"name": "render"}]
+    guarantees = [
+        {"availability_zone": zone, "slots": 8, "count": 1} for zone in zones
+    ]
+    return {
+        "based_on": based_on,
+        "organisations": [
+            {"name": "armor", "kinds": kinds, "guarantees": guarantees},
+            {"name": "vestnes", "kinds": kinds},
+        ],
+    }
+
+
+def make_job(**fields: Any) -> dict[str, Any]:
+    payload = {
+        "run_s": fields.pop("run_s", 0.05),
+        "answer": fields.pop("answer", "ok"),
+        "fail": fields.pop("fail", False),
+    }
+    return {
+        "caller": "kiosk",
+        "kind": "edge",
+        "idempotent": True,
+        "payload": json.dumps(payload),
+        **fields,
+    }
+
+
+@pytest.fixture(scope="module")
+def cluster(tmp_path_factory: pytest.TempPathFactory) -> Iterator[Cluster]:
+    plan = Plan(
+        zones=["z1", "z2"],
+        instances=2,
+        workers=2,
+        organisations=["armor", "vestnes"],
+        scheduler=FAST,
+    )
+    folder: Path = tmp_path_factory.mktemp("cluster")
+    with Cluster(plan, folder) as running:
+        running.publish(make_rules(plan.zones))
+        yield running
