--- a/Makefile
+++ b/Makefile
@@ -15,7 +15,7 @@
 	touch $@
 
 demo: setup
-	$(BIN)/python -m standins.demo
+	$(BIN)/python -m harness.demo
 
 test: setup
 	$(BIN)/python -m pytest
--- a/standins/cluster.py
+++ b/harness/cluster.py
@@ -13,7 +13,6 @@
 import subprocess
 import sys
 import time
-from collections.abc import Iterator
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
@@ -185,6 +184,23 @@
             module = f"lagoonbeam.commands.{program}"
             self._run(f"{name}-{program}", module, "--settings", settings)
 
+    def add_instance(
+        self, name: str, zone: str, entry_port: int, scheduler_port: int
+    ) -> None:
+        """Starts an instance that was not there before, and lists it."""
+        self.instances[name] = Instance(name, zone, entry_port, scheduler_port)
+        self._list_instance(name)
+        self.start_instance(name)
+
+    def remove_instance(self, name: str) -> None:
+        """Takes an instance that has ended off the list."""
+        del self.instances[name]
+        self.client.delete(f"{self.list_url}/instances/{name}")
+
+    def list_urls(self) -> list[str]:
+        """Returns the entries' base URLs, as the balancer knows them."""
+        return [instance.url for instance in self.instances.values()]
+
     def kill(self, process: str, number: int = signal.SIGKILL) -> None:
         """Signals one process, by its id."""
         self.processes[process].send_signal(number)
@@ -374,10 +390,3 @@
             if time.monotonic() > deadline_s:
                 raise TimeoutError(f"{url} does not answer")
             time.sleep(0.05)
-
-
-def iterate_running(cluster: Cluster) -> Iterator[str]:
-    """Yields the names of the processes that run."""
-    for name, process in cluster.processes.items():
-        if process.poll() is None:
-            yield name
--- /dev/null
+++ b/lagoonbeam/commands/client.py
@@ -0,0 +1,311 @@
+"""``lagoonbeam``: the command line of callers and operators."""
+
+from __future__ import annotations
+
+import json
+import sys
+from pathlib import Path
+from typing import Annotated, Any
+
+import msgspec
+import typer
+
+from lagoonbeam.commands.entry_client import EntryClient
+from lagoonbeam.commands.running import EXIT_FAILED, EXIT_USAGE, read_settings
+from lagoonbeam.commands.tables import print_rows
+from lagoonbeam.core.rules import RulesDocument, decode_rules
+from lagoonbeam.core.settings import Settings, Text, Token, get_secret
+from lagoonbeam.errors import RulesInvalidError, SettingsError
+from lagoonbeam.rules import compare_rules
+
+program = typer.Typer(
+    add_completion=False,
+    no_args_is_help=True,
+    pretty_exceptions_enable=False,
+    help="Submits jobs and operates lagoonbeam. Exit codes: 0 success,"
+    " 1 refused or failed, 2 wrong usage or settings, 3 entry unreachable.",
+)
+jobs = typer.Typer(no_args_is_help=True, help="Submit, follow, cancel jobs.")
+rules = typer.Typer(no_args_is_help=True, help="Check and publish rules.")
+program.add_typer(jobs, name="jobs")
+program.add_typer(rules, name="rules")
+
+SettingsOption = Annotated[
+    Path,
+    typer.Option(
+        "--settings",
+        envvar="LAGOONBEAM_SETTINGS",
+        help="Settings file (YAML) with url and token.",
+    ),
+]
+JsonOption = Annotated[
+    bool, typer.Option("--json", help="Print JSON for a program.")
+]
+
+
+class ClientSettings(Settings, frozen=True):
+    """Settings of the command line.
+
+    Attributes:
+        url: Base URL of an entry, or of the balancer before the entries.
+        token: The secret; or leave it empty and name
+        token_env: the environment variable that holds it.
+    """
+
+    url: Text
+    token: str = ""
+    token_env: str = ""
+
+
+def _connect(settings: Path) -> EntryClient:
+    values = read_settings(settings, ClientSettings)
+    token = Token("caller", token=values.token, token_env=values.token_env)
+    try:
+        return EntryClient(values.url, get_secret(token))
+    except SettingsError as error:
+        typer.echo(error.detail, err=True)
+        raise typer.Exit(EXIT_USAGE) from error
+
+
+@program.command("check-settings")
+def check_settings(settings: SettingsOption) -> None:
+    """Checks the settings file and exits."""
+    read_settings(settings, ClientSettings)
+    typer.echo(f"{settings}: valid")
+
+
+@jobs.command("submit")
+def submit(
+    settings: SettingsOption,
+    caller: Annotated[str, typer.Option(help="Who asks.")],
+    kind: Annotated[str, typer.Option(help="Kind of work.")],
+    members: Annotated[int, typer.Option(help="Tasks of the gang.")] = 1,
+    accelerators: Annotated[int, typer.Option(help="Of each member.")] = 1,
+    cores: Annotated[float, typer.Option(help="Of each member.")] = 1.0,
+    memory_bytes: Annotated[int, typer.Option(help="Of each member.")] = 0,
+    adjacency: Annotated[
+        str, typer.Option(help="none, rack or worker.")
+    ] = "none",
+    urgency: Annotated[
+        str, typer.Option(help="batch, normal or urgent.")
+    ] = "normal",
+    run_s: Annotated[float, typer.Option(help="Expected run time.")] = 60.0,
+    start_within_s: Annotated[
+        float, typer.Option(help="Drop it if not started by then; 0: never.")
+    ] = 0.0,
+    idempotent: Annotated[
+        bool, typer.Option(help="It may run again after a failure.")
+    ] = False,
+    checkpointable: Annotated[
+        bool, typer.Option(help="It can stop and go on later.")
+    ] = False,
+    payload: Annotated[str, typer.Option(help="Text for every member.")] = "",
+    key: Annotated[
+        str, typer.Option(help="Idempotency key: makes a retry the same job.")
+    ] = "",
+    wait_s: Annotated[
+        float, typer.Option(help="Wait so long for the answer.")
+    ] = 0.0,
+    as_json: JsonOption = False,
+) -> None:
+    """Submits a job and, with --wait-s, waits for its answer."""
+    body = {
+        "caller": caller,
+        "kind": kind,
+        "shape": {
+            "members": members,
+            "accelerators": accelerators,
+            "cores": cores,
+            "memory_bytes": memory_bytes,
+            "adjacency": adjacency,
+        },
+        "urgency": urgency,
+        "declared_run_s": run_s,
+        "start_within_s": start_within_s,
+        "idempotent": idempotent,
+        "checkpointable": checkpointable,
+        "payload": payload,
+    }
+    headers = {"idempotency-key": key} if key else {}
+    status = _connect(settings).call(
+        "POST",
+        f"/v1/jobs?wait_s={wait_s}",
+        wait_s=wait_s,
+        json=body,
+        headers=headers,
+    )
+    _print_jobs([status], as_json)
+    if status["outcome"] not in ("", "completed"):
+        raise typer.Exit(EXIT_FAILED)
+
+
+@jobs.command("status")
+def show_status(
+    settings: SettingsOption,
+    job_id: str,
+    wait_s: Annotated[
+        float, typer.Option(help="Wait so long for the answer.")
+    ] = 0.0,
+    as_json: JsonOption = False,
+) -> None:
+    """Shows a job."""
+    path = f"/v1/jobs/{job_id}?wait_s={wait_s}"
+    status = _connect(settings).call("GET", path, wait_s=wait_s)
+    _print_jobs([status], as_json)
+
+
+@jobs.command("cancel")
+def cancel(
+    settings: SettingsOption, job_id: str, as_json: JsonOption = False
+) -> None:
+    """Cancels a job, queued or running."""
+    status = _connect(settings).call("DELETE", f"/v1/jobs/{job_id}")
+    _print_jobs([status], as_json)
+
+
+@jobs.command("list")
+def list_jobs(
+    settings: SettingsOption,
+    organisation: Annotated[
+        str, typer.Option(help="For operators: whose; all if empty.")
+    ] = "",
+    limit: Annotated[int, typer.Option(help="Show so many.")] = 100,
+    as_json: JsonOption = False,
+) -> None:
+    """Lists the latest jobs."""
+    path = f"/v1/jobs?limit={limit}&organisation={organisation}"
+    listed = _connect(settings).call("GET", path)
+    _print_jobs(listed["jobs"], as_json)
+
+
+def _print_jobs(statuses: list[dict[str, Any]], as_json: bool) -> None:
+    columns = [
+        "job_id",
+        "organisation",
+        "phase",
+        "outcome",
+        "availability_zone",
+        "detail",
+    ]
+    print_rows(statuses, columns, as_json=as_json)
+
+
+def _read_document(path: Path) -> RulesDocument:
+    """Reads a rules document from a file, or from standard input for -."""
+    text = sys.stdin.read() if str(path) == "-" else path.read_text()
+    try:
+        return decode_rules(text)
+    except RulesInvalidError as error:
+        typer.echo(f"{error.code}: {error.detail}", err=True)
+        raise typer.Exit(EXIT_FAILED) from error
+
+
+@rules.command("check")
+def check_document(document: Path) -> None:
+    """Checks a document, also that its fleet can hold its guarantees."""
+    checked = _read_document(document)
+    typer.echo(f"{document}: valid, based on version {checked.based_on}")
+
+
+@rules.command("diff")
+def diff_document(
+    settings: SettingsOption, document: Path, as_json: JsonOption = False
+) -> None:
+    """Shows what a document would change of the rules in force."""
+    after = _read_document(document)
+    status = _connect(settings).call("GET", "/v1/rules")
+    before = decode_rules(status["document"]) if status["document"] else None
+    changes = [
+        msgspec.to_builtins(each) for each in compare_rules(before, after)
+    ]
+    print_rows(changes, ["path", "before", "after"], as_json=as_json)
+
+
+@rules.command("publish")
+def publish_document(
+    settings: SettingsOption, document: Path, as_json: JsonOption = False
+) -> None:
+    """Publishes a document; it must be based on the version in force."""
+    checked = _read_document(document)
+    status = _connect(settings).call(
+        "PUT", "/v1/rules", content=msgspec.json.encode(checked)
+    )
+    row = {"version": status["version"]}
+    print_rows([row], ["version"], as_json=as_json)
+
+
+@rules.command("show")
+def show_document(settings: SettingsOption) -> None:
+    """Prints the document in force."""
+    status = _connect(settings).call("GET", "/v1/rules")
+    document = json.loads(status["document"] or "null")
+    typer.echo(json.dumps(document, indent=2))
+
+
+@rules.command("status")
+def show_rules_status(
+    settings: SettingsOption, as_json: JsonOption = False
+) -> None:
+    """Shows the version in force on each instance."""
+    columns = ["instance", "availability_zone", "rules_version", "log_up"]
+    listed = _connect(settings).call("GET", "/v1/instances")
+    print_rows(_by_name(listed["instances"]), columns, as_json=as_json)
+
+
+@program.command("instances")
+def show_instances(
+    settings: SettingsOption, as_json: JsonOption = False
+) -> None:
+    """Shows all instances, as the asked one hears of them."""
+    columns = [
+        "instance",
+        "availability_zone",
+        "active",
+        "term_number",
+        "ready",
+        "log_up",
+        "draining",
+        "rules_version",
+        "next_offset",
+        "free_slots",
+        "total_slots",
+        "queued_slots",
+        "expected_wait_s",
+    ]
+    listed = _connect(settings).call("GET", "/v1/instances")
+    print_rows(_by_name(listed["instances"]), columns, as_json=as_json)
+
+
+@program.command("fleet")
+def show_fleet(
+    settings: SettingsOption,
+    zone: Annotated[
+        str, typer.Option(help="Zone; that of the entry if empty.")
+    ] = "",
+    as_json: JsonOption = False,
+) -> None:
+    """Shows the workers of a zone."""
+    columns = ["worker", "rack", "state", "slots", "busy_slots"]
+    path = f"/v1/fleet?availability_zone={zone}"
+    listed = _connect(settings).call("GET", path)
+    print_rows(listed["workers"], columns, as_json=as_json)
+
+
+@program.command("drain")
+def drain_endpoint(settings: SettingsOption, endpoint: str) -> None:
+    """Gives an endpoint no new work; what runs on it finishes."""
+    _connect(settings).call("POST", f"/v1/endpoints/{endpoint}/drain")
+    typer.echo(f"{endpoint}: gets no new work")
+
+
+def _by_name(instances: list[dict[str, Any]]) -> list[dict[str, Any]]:
+    return sorted(instances, key=lambda each: str(each["instance"]))
+
+
+def main() -> None:
+    """Entry point of the program."""
+    program()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/lagoonbeam/commands/entry_client.py
@@ -0,0 +1,69 @@
+"""HTTP calls of the command line to an entry."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import httpx
+import msgspec
+import typer
+
+from lagoonbeam.commands.running import EXIT_FAILED, EXIT_UNREACHABLE
+from lagoonbeam.core.events import Event
+
+TIMEOUT_S = 10.0
+"""Deadline of a call, beside the wait it asks for."""
+
+
+class EntryClient:
+    """Calls one entry with one token.
+
+    Args:
+        url: Base URL of the entry.
+        token: The caller's or operator's token.
+    """
+
+    def __init__(self, url: str, token: str):
+        self._client = httpx.Client(
+            base_url=url,
+            headers={"authorization": f"Bearer {token}"},
+            timeout=TIMEOUT_S,
+            trust_env=False,
+        )
+
+    def call(
+        self, method: str, path: str, *, wait_s: float = 0.0, **options: Any
+    ) -> Any:
+        """Makes a call and returns its JSON; ends the program on failure."""
+        try:
+            response = self._client.request(
+                method, path, timeout=TIMEOUT_S + wait_s, **options
+            )
+        except httpx.HTTPError as error:
+            typer.echo(f"{self._client.base_url}: {error}", err=True)
+            raise typer.Exit(EXIT_UNREACHABLE) from error
+        if response.is_error:
+            typer.echo(_describe_problem(response), err=True)
+            raise typer.Exit(EXIT_FAILED)
+        return response.json()
+
+    def read_events(self, after: int, scheduler_after: int) -> list[Event]:
+        """Returns the events of an entry and its scheduler.
+
+        Raises:
+            httpx.HTTPError: If the entry does not answer.
+        """
+        response = self._client.get(
+            "/v1/events",
+            params={"after": after, "scheduler_after": scheduler_after},
+        )
+        response.raise_for_status()
+        return msgspec.json.decode(response.content, type=list[Event])
+
+
+def _describe_problem(response: httpx.Response) -> str:
+    try:
+        problem = response.json()
+        return f"{problem['code']}: {problem['detail']}"
+    except (ValueError, KeyError):
+        return f"got status {response.status_code}: {response.text[:200]}"
--- /dev/null
+++ b/lagoonbeam/commands/tables.py
@@ -0,0 +1,40 @@
+"""Tables for a person, JSON for a program."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Iterable, Mapping, Sequence
+from typing import Any
+
+import typer
+from rich.console import Console
+from rich.table import Table
+
+
+def print_rows(
+    rows: Iterable[Mapping[str, Any]],
+    columns: Sequence[str],
+    *,
+    as_json: bool,
+) -> None:
+    """Prints rows as a table, or all their fields as JSON.
+
+    Args:
+        rows: What to print.
+        columns: Fields that the table shows.
+        as_json: Whether to print JSON.
+    """
+    rows = list(rows)
+    if as_json:
+        typer.echo(json.dumps(rows))
+        return
+    table = Table(*columns, box=None, pad_edge=False)
+    for row in rows:
+        table.add_row(*(_show(row.get(column, "")) for column in columns))
+    Console().print(table)
+
+
+def _show(value: Any) -> str:
+    if isinstance(value, float):
+        return f"{value:.3f}"
+    return str(value)
--- a/lagoonbeam/core/jobs.py
+++ b/lagoonbeam/core/jobs.py
@@ -4,6 +4,7 @@
 
 import enum
 from dataclasses import dataclass, field
+from typing import Literal
 
 from lagoonbeam.types import (
     Adjacency,
@@ -69,7 +70,7 @@
         caller: Who asked, inside the organisation.
         kind: Kind of work; the rules name the allowed ones.
         shape: What it needs.
-        urgency: How soon it is needed.
+        urgency: How soon it is needed; empty for its kind's default.
         declared_run_s: Run time the caller expects.
         start_within_s: The job is dropped when not started by then; 0 for
             no bound.
@@ -87,7 +88,7 @@
     caller: str
     kind: str
     shape: GangShape = field(default_factory=GangShape)
-    urgency: Urgency = "normal"
+    urgency: Urgency | Literal[""] = "normal"
     declared_run_s: float = 60.0
     start_within_s: float = 0.0
     idempotent: bool = True
--- a/lagoonbeam/entry/requests.py
+++ b/lagoonbeam/entry/requests.py
@@ -4,7 +4,7 @@
 
 import hashlib
 import uuid
-from typing import Annotated
+from typing import Annotated, Literal
 
 import msgspec
 
@@ -46,7 +46,7 @@
     caller: Name
     kind: Name
     shape: ShapeRequest = ShapeRequest()
-    urgency: Urgency = "normal"
+    urgency: Urgency | Literal[""] = ""
     declared_run_s: Annotated[float, msgspec.Meta(gt=0, le=31_536_000)] = 60.0
     start_within_s: Annotated[float, msgspec.Meta(ge=0, le=31_536_000)] = 0.0
     idempotent: bool = False
--- /dev/null
+++ b/lagoonbeam/rules/builder.py
@@ -0,0 +1,208 @@
+"""Building a rules document step by step."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+import msgspec
+
+from lagoonbeam.core.rules import (
+    Guarantee,
+    Kind,
+    Organisation,
+    PolicyChoice,
+    RackDeclaration,
+    RulesDocument,
+    check_rules,
+    encode_rules,
+)
+from lagoonbeam.errors import RulesInvalidError, UnknownOrganisationError
+from lagoonbeam.types import OrganisationName, Urgency, ZoneName
+
+
+@dataclass
+class _Draft:
+    """An organisation that is being built."""
+
+    name: OrganisationName
+    weight: float
+    max_queued: int
+    max_queued_per_caller: int
+    kinds: dict[str, Kind] = field(default_factory=dict)
+    guarantees: list[Guarantee] = field(default_factory=list)
+
+
+class RulesBuilder:
+    """Builds the rules that an operator then publishes.
+
+    Args:
+        based_on: Version in force that the new rules replace.
+    """
+
+    def __init__(self, *, based_on: int):
+        self._based_on = based_on
+        self._drafts: dict[OrganisationName, _Draft] = {}
+        self._racks: list[RackDeclaration] = []
+        self._policies = PolicyChoice()
+        self._urgent_lent_fraction = 0.1
+
+    @classmethod
+    def revise(cls, document: RulesDocument, *, based_on: int) -> RulesBuilder:
+        """Starts from rules that are in force.
+
+        Args:
+            document: The rules in force.
+            based_on: Their version.
+        """
+        builder = cls(based_on=based_on)
+        builder._racks = list(document.fleet)
+        builder._policies = document.policies
+        builder._urgent_lent_fraction = document.urgent_lent_fraction
+        for each in document.organisations:
+            builder.add_organisation(
+                each.name,
+                weight=each.weight,
+                max_queued=each.max_queued,
+                max_queued_per_caller=each.max_queued_per_caller,
+            )
+            draft = builder._drafts[each.name]
+            draft.kinds = {kind.name: kind for kind in each.kinds}
+            draft.guarantees = list(each.guarantees)
+        return builder
+
+    def declare_racks(
+        self, zone: ZoneName, *, racks: int, workers: int, slots: int = 8
+    ) -> None:
+        """Declares equal racks of a zone, to check guarantees against."""
+        self._racks.append(
+            RackDeclaration(
+                availability_zone=zone,
+                racks=racks,
+                workers=workers,
+                slots=slots,
+            )
+        )
+
+    def add_organisation(
+        self,
+        name: OrganisationName,
+        *,
+        weight: float = 1.0,
+        max_queued: int = 20_000,
+        max_queued_per_caller: int = 10_000,
+    ) -> None:
+        """Adds an organisation without rights.
+
+        Raises:
+            RulesInvalidError: If it was added already.
+        """
+        if name in self._drafts:
+            raise RulesInvalidError(f"organisation {name!r} is added twice")
+        self._drafts[name] = _Draft(
+            name, weight, max_queued, max_queued_per_caller
+        )
+
+    def remove_organisation(self, name: OrganisationName) -> None:
+        """Removes an organisation and all its rights."""
+        self._get(name)
+        del self._drafts[name]
+
+    def set_weight(self, name: OrganisationName, weight: float) -> None:
+        """Sets an organisation's share of the lent cells."""
+        self._get(name).weight = weight
+
+    def allow_kind(
+        self,
+        organisation: OrganisationName,
+        name: str,
+        *,
+        max_queued: int = 10_000,
+        default_urgency: Urgency = "normal",
+    ) -> None:
+        """Allows an organisation to submit a kind of work."""
+        self._get(organisation).kinds[name] = Kind(
+            name=name, max_queued=max_queued, default_urgency=default_urgency
+        )
+
+    def guarantee(
+        self,
+        organisation: OrganisationName,
+        zone: ZoneName,
+        *,
+        slots: int,
+        count: int = 1,
+    ) -> None:
+        """Guarantees cells; replaces those of the same zone and size."""
+        draft = self._get(organisation)
+        draft.guarantees = [
+            each
+            for each in draft.guarantees
+            if (each.availability_zone, each.slots) != (zone, slots)
+        ]
+        if count:
+            draft.guarantees.append(
+                Guarantee(availability_zone=zone, slots=slots, count=count)
+            )
+
+    def choose_policies(
+        self,
+        *,
+        ordering: str = "fair_share",
+        placement: str = "cells",
+        preemption: str = "fewest_losses",
+        admission: str = "bounded",
+        urgent_lent_fraction: float = 0.1,
+    ) -> None:
+        """Chooses the policies in force; see `PolicyChoice`."""
+        self._policies = PolicyChoice(
+            ordering, placement, preemption, admission
+        )
+        self._urgent_lent_fraction = urgent_lent_fraction
+
+    def build(self) -> RulesDocument:
+        """Returns the checked document.
+
+        Raises:
+            RulesInvalidError: If a value is out of range.
+            GuaranteeInfeasibleError: If the declared fleet cannot hold all
+                guarantees together.
+        """
+        plain = RulesDocument(
+            based_on=self._based_on,
+            organisations=tuple(map(_finish, self._drafts.values())),
+            fleet=tuple(self._racks),
+            policies=self._policies,
+            urgent_lent_fraction=self._urgent_lent_fraction,
+        )
+        try:
+            document = msgspec.convert(
+                msgspec.to_builtins(plain), RulesDocument
+            )
+        except msgspec.ValidationError as error:
+            raise RulesInvalidError(str(error)) from error
+        check_rules(document)
+        return document
+
+    def print(self) -> None:
+        """Prints the document, to be published."""
+        text = msgspec.json.format(encode_rules(self.build()), indent=2)
+        print(text.decode())
+
+    def _get(self, name: OrganisationName) -> _Draft:
+        if name not in self._drafts:
+            raise UnknownOrganisationError(
+                f"got organisation {name!r}, expected one of"
+                f" {sorted(self._drafts)}"
+            )
+        return self._drafts[name]
+
+
+def _finish(draft: _Draft) -> Organisation:
+    return Organisation(
+        name=draft.name,
+        weight=draft.weight,
+        guarantees=tuple(draft.guarantees),
+        kinds=tuple(draft.kinds.values()),
+        max_queued=draft.max_queued,
+        max_queued_per_caller=draft.max_queued_per_caller,
+    )
--- a/lagoonbeam/scheduler/intake.py
+++ b/lagoonbeam/scheduler/intake.py
@@ -11,7 +11,7 @@
 from lagoonbeam.core.jobs import URGENT_START_S, Job, JobStatus
 from lagoonbeam.core.messages import EnqueueJob, Heartbeat
 from lagoonbeam.core.records import JobAccepted
-from lagoonbeam.core.rules import RulesDocument
+from lagoonbeam.core.rules import Kind, RulesDocument
 from lagoonbeam.errors import (
     InvalidRequestError,
     KeyReusedError,
@@ -156,7 +156,8 @@
             raise NotReadyError("the log was not read yet", retry_after_s=1.0)
         if rules is None:
             raise NotReadyError("no rules are in force", retry_after_s=5.0)
-        _check_names(job, rules)
+        kind = _find_kind(job, rules)
+        job = replace(job, urgency=job.urgency or kind.default_urgency)
         if job.urgency == "urgent" and not job.start_within_s:
             job = replace(job, start_within_s=URGENT_START_S)
         zone, wait_s = self._choose_zone(job, rules)
@@ -272,15 +273,17 @@
             ) from error
 
 
-def _check_names(job: Job, rules: RulesDocument) -> None:
+def _find_kind(job: Job, rules: RulesDocument) -> Kind:
+    """Returns a job's kind of work, if its organisation may submit it."""
     organisation = rules.get_organisation(job.organisation)
     if organisation is None:
         raise UnknownOrganisationError(
             f"got organisation {job.organisation!r}, expected one of"
             f" {sorted(each.name for each in rules.organisations)}"
         )
-    kinds = sorted(kind.name for kind in organisation.kinds)
+    kinds = {kind.name: kind for kind in organisation.kinds}
     if job.kind not in kinds:
         raise UnknownKindError(
-            f"got kind {job.kind!r}, expected one of {kinds}"
+            f"got kind {job.kind!r}, expected one of {sorted(kinds)}"
         )
+    return kinds[job.kind]
--- a/lagoonbeam/scheduler/zone.py
+++ b/lagoonbeam/scheduler/zone.py
@@ -356,9 +356,11 @@
 
     def _take_report(self, link: WorkerLink, report: TaskReport) -> Gang | None:
         gang = self._gangs.get(report.attempt)
+        if gang is None and self.recovered:
+            self._meet_stranger(link, report)
+            return None
         if gang is None:
-            if self.recovered:
-                self._meet_stranger(link, report)
+            self._adopt(report.attempt)
             return None
         member = gang.members[report.member]
         if member.worker != link.name:
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from standins.cluster import Cluster, Plan
+from harness.cluster import Cluster, Plan
 
 FAST = {
     "heartbeat_s": 0.2,
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from standins.cluster import Cluster
+from harness.cluster import Cluster
 from tests.conftest import make_job
 
 
