Randomised soak of the real processes, and a link that outlives a crash

The worker stand-in answered a sync that waited through its crash with 'stale term' for a term that is not newer; the link took that as its end and closed its driver while launches still used it.

Ruled out: a takeover (the other instance activated 2 s later) and a moved worker (the list had not changed).

--- a/Makefile
+++ b/Makefile
@@ -27,3 +27,6 @@
 
 clean:
 	rm -rf $(VENV) build *.egg-info
+
+soak: setup
+	$(BIN)/python -m harness.soak --seed $(SEED) --duration-s $(DURATION_S)
--- a/lagoonbeam/endpoints/http.py
+++ b/lagoonbeam/endpoints/http.py
@@ -82,6 +82,8 @@
         self, command: str, body: Any, wait_s: float = 0.0
     ) -> bytes:
         timeout_s = self.settings.command_timeout_s + wait_s
+        if self._client.is_closed:
+            raise WorkerUnreachableError(f"{command}: the link was closed")
         try:
             response = await self._client.post(
                 f"{self.url}/{command}",
--- a/lagoonbeam/scheduler/worker_link.py
+++ b/lagoonbeam/scheduler/worker_link.py
@@ -84,18 +84,18 @@
         return passed_s > settings.lease_s + in_flight_s
 
     async def run(self) -> None:
-        """Exchanges until cancelled or refused for a newer term."""
+        """Exchanges until cancelled."""
         await self.driver.start()
         try:
             while True:
                 try:
                     await self._exchange()
+                    continue
                 except StaleTermError as error:
                     self._on_stale(error)
-                    return
                 except WorkerError:
                     self._on_silence(self)
-                    await anyio.sleep(RETRY_S)
+                await anyio.sleep(RETRY_S)
         finally:
             with anyio.CancelScope(shield=True):
                 await self.driver.close()
