A gang is queued once, a job that ran is not denied, a queue loses nothing

(1) A launch that no worker took was queued again twice: by its own task, and by the review of the workers' reports of the released reservations, since the gang no longer counted as launching. Schedulers died of it (KeyError, CellError). (2) A job that had failed on a worker and waited again was told did_not_run when cancelled. (3) FairShareOrdering took an emptied group for the new one of the same key and lost its jobs. (4) One job's own excluded workers made its whole shape wait, and two empty workers are one block of which only the first was offered.

Ruled out: the log and takeovers; each fault shows with fakes alone.

--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of the decisions, in virtual time and on small fakes."""
--- /dev/null
+++ b/benchmarks/fleets.py
@@ -0,0 +1,122 @@
+"""Ready descriptions of fleets: both deployments of today, and the goal."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+from itertools import product
+
+from lagoonbeam.core.pool import WorkerShape
+from lagoonbeam.core.rules import (
+    Guarantee,
+    Kind,
+    Organisation,
+    PolicyChoice,
+    RackDeclaration,
+    RulesDocument,
+)
+
+GIB = 1 << 30
+
+
+@dataclass(frozen=True)
+class Fleet:
+    """A deployment.
+
+    Attributes:
+        name: Its name.
+        zones: Its availability zones.
+        workers: Workers of each zone.
+        rack_size: Workers of a rack.
+        accelerated: Workers of each zone that have 8 accelerators.
+        organisations: Number of organisations.
+        memory_bytes: Memory of a worker.
+    """
+
+    name: str
+    zones: tuple[str, ...]
+    workers: int
+    rack_size: int
+    accelerated: int
+    organisations: int
+    memory_bytes: int = 512 * GIB
+
+    def list_workers(self, zone: str) -> Iterator[WorkerShape]:
+        """Yields a zone's workers; the accelerated ones come first."""
+        for index in range(self.workers):
+            yield WorkerShape(
+                worker=f"{zone}-w{index}",
+                rack=f"{zone}-r{index // self.rack_size}",
+                accelerators=8 if index < self.accelerated else 0,
+                memory_bytes=self.memory_bytes,
+                position=index % self.rack_size,
+            )
+
+    @property
+    def slots(self) -> int:
+        """Accelerated slots of the whole fleet."""
+        return 8 * self.accelerated * len(self.zones)
+
+    def make_rules(
+        self, policies: PolicyChoice, *, scale: int = 1, based_on: int = 0
+    ) -> RulesDocument:
+        """Returns rules that guarantee about a third of the fleet.
+
+        Args:
+            policies: Policies in force.
+            scale: Multiplies the first organisation's guarantee.
+            based_on: Version they replace.
+        """
+        shares = [2, 1, 1]
+        organisations = []
+        for index in range(self.organisations):
+            few = self.organisations <= 4
+            count = shares[index] * scale if few and index < 3 else 0
+            slots = 8 if index < 2 else 4
+            zones = self.zones
+            if not few:
+                count, slots = 1, (1, 2, 4)[index % 3]
+                zones = (self.zones[index % len(self.zones)],)
+            guarantees = tuple(
+                Guarantee(availability_zone=zone, slots=slots, count=count)
+                for zone in zones
+                if count
+            )
+            organisations.append(
+                Organisation(
+                    name=f"org{index}",
+                    weight=2.0 if index < 2 else 1.0,
+                    guarantees=guarantees,
+                    kinds=tuple(
+                        Kind(name=name)
+                        for name in ("check", "render", "train", "buyer")
+                    ),
+                )
+            )
+        declared = tuple(
+            RackDeclaration(
+                availability_zone=zone, racks=racks, workers=workers
+            )
+            for zone, (racks, workers) in product(
+                self.zones, self._list_racks()
+            )
+        )
+        return RulesDocument(
+            based_on=based_on,
+            organisations=tuple(organisations),
+            fleet=declared,
+            policies=policies,
+        )
+
+    def _list_racks(self) -> list[tuple[int, int]]:
+        full, rest = divmod(self.accelerated, self.rack_size)
+        racks = [(full, self.rack_size)] if full else []
+        return racks + ([(1, rest)] if rest else [])
+
+
+ARMOR = Fleet("armor", ("z1", "z2", "z3", "z4"), 6, 6, 6, 4)
+VESTNES = Fleet(
+    "vestnes", ("z1", "z2", "z3"), 8, 8, 8, 4, memory_bytes=256 * GIB
+)
+GOAL = Fleet("goal", tuple(f"z{index}" for index in range(8)), 138, 16, 24, 180)
+"""1,104 workers, 1,536 accelerators, 180 organisations."""
--- a/lagoonbeam/core/cells.py
+++ b/lagoonbeam/core/cells.py
@@ -148,13 +148,17 @@
         return None
 
     def iterate_fits(self, slots: int) -> Iterator[Cell]:
-        """Yields one candidate cell of each block that is large enough.
+        """Yields a candidate cell of each worker that has room.
 
-        Blocks come smallest first.
+        Candidates come from the smallest blocks first.
         """
+        step = max(slots, WORKER_SPAN)
         for level in range(get_level(slots), LEVELS):
             for start in reversed(self._blocks[level]):
-                yield Cell(start, slots)
+                end = start + (1 << level)
+                yield from (
+                    Cell(first, slots) for first in range(start, end, step)
+                )
 
     def iterate_blocks(self) -> Iterator[Cell]:
         """Yields all maximal free blocks, smallest first."""
--- a/lagoonbeam/core/planned.py
+++ b/lagoonbeam/core/planned.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import enum
+import functools
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 from lagoonbeam.core.cells import Cell
@@ -27,15 +29,41 @@
 class ShapeKey:
     """Jobs with equal keys fit in the same places.
 
+    `make_shape_key` returns the same object for equal keys, so that looking
+    them up costs little.
+
     Attributes:
         shape: The gang's shape.
         stoppable: Whether it may be stopped.
         urgent: Whether it is urgent.
+        excluded_workers: Workers on which it has failed.
     """
 
     shape: GangShape
     stoppable: bool
     urgent: bool
+    excluded_workers: frozenset[str] = frozenset()
+
+    def __hash__(self) -> int:
+        return self._hash
+
+    @functools.cached_property
+    def _hash(self) -> int:
+        return hash(
+            (self.shape, self.stoppable, self.urgent, self.excluded_workers)
+        )
+
+
+@functools.lru_cache(maxsize=4_096)
+def make_shape_key(
+    shape: GangShape,
+    *,
+    stoppable: bool,
+    urgent: bool,
+    excluded_workers: frozenset[str],
+) -> ShapeKey:
+    """Returns the one key object of these values."""
+    return ShapeKey(shape, stoppable, urgent, excluded_workers)
 
 
 @dataclass(frozen=True)
@@ -96,13 +124,26 @@
     cancelled: bool = False
     excluded_workers: set[str] = field(default_factory=set)
 
-    @property
+    @functools.cached_property
     def key(self) -> ShapeKey:
-        """What decides where it fits."""
-        return ShapeKey(
-            self.job.shape, self.job.stoppable, self.job.urgency == "urgent"
+        """What decides where it fits; see `exclude`."""
+        return make_shape_key(
+            self.job.shape,
+            stoppable=self.job.stoppable,
+            urgent=self.job.urgency == "urgent",
+            excluded_workers=frozenset(self.excluded_workers),
         )
 
+    def exclude(self, workers: Iterable[str]) -> None:
+        """Keeps the job away from workers; it must not be queued."""
+        self.excluded_workers.update(workers)
+        self.__dict__.pop("key", None)
+
+    def include_all(self) -> None:
+        """Lets the job run anywhere again; it must not be queued."""
+        self.excluded_workers.clear()
+        self.__dict__.pop("key", None)
+
     @property
     def rank(self) -> int:
         """Rank of its urgency; lower goes first."""
--- a/lagoonbeam/core/planner.py
+++ b/lagoonbeam/core/planner.py
@@ -96,6 +96,7 @@
         self._urgent_fraction = 0.1
         self._urgent_lent_slots = 0
         self._waiting: dict[JobId, PlannedJob] = {}
+        self._promised: dict[JobId, None] = {}
         self._ready: list[Decision] = []
         self._victims: dict[JobId, set[JobId]] = collections.defaultdict(set)
         self._reservation: Reservation | None = None
@@ -139,6 +140,10 @@
             (pool for pool in self.pools if worker in pool.workers), None
         )
 
+    def list_promised(self) -> list[PlannedJob]:
+        """Returns the placed jobs that wait for others to leave."""
+        return [self.jobs[job_id] for job_id in self._promised]
+
     def add_worker(self, shape: WorkerShape) -> None:
         """Adds a worker, healthy and empty."""
         self.get_pool(accelerated=shape.accelerators > 0).add_worker(shape)
@@ -290,12 +295,13 @@
         return decisions
 
     def expire(self) -> list[PlannedJob]:
-        """Takes out queued jobs whose start deadline has passed."""
+        """Takes out jobs that never started within their deadline."""
         now_s = self._now()
         late = [
             planned
             for planned in self._waiting.values()
             if planned.job.start_within_s
+            and not planned.started_at_s
             and now_s > planned.queued_at_s + planned.job.start_within_s
         ]
         for planned in late:
@@ -325,6 +331,7 @@
             self._urgent_lent_slots -= placement.slots
         planned.placement = None
         planned.waits_for.clear()
+        self._promised.pop(job_id, None)
         self._ready = [
             each
             for each in self._ready
@@ -437,6 +444,7 @@
                 if slot not in pool.occupants:
                     pool.occupy(Cell(slot, 1), waiter.job.job_id)
         if not waiter.waits_for:
+            del self._promised[waiter.job.job_id]
             self._ready.append(Start(waiter, waiter.placement))
 
     def _release_claims(
@@ -581,7 +589,9 @@
         for victim_id in planned.waits_for:
             self._victims[victim_id].add(job_id)
             self._stop(self.jobs[victim_id], "reclaim")
-        if not planned.waits_for:
+        if planned.waits_for:
+            self._promised[job_id] = None
+        else:
             self._ready.append(Start(planned, placement))
 
     def _stop(self, victim: PlannedJob, cause: str) -> None:
--- a/lagoonbeam/ordering/fair_share.py
+++ b/lagoonbeam/ordering/fair_share.py
@@ -207,7 +207,7 @@
                 and (head := self._find_head(group)) is not None
             ]
             if not candidates:
-                del self._open[name]
+                self._open.pop(name, None)
                 continue
             head = min(candidates, key=lambda each: self._rate(each))
             yield Candidate(head, Route.GUARANTEED)
@@ -230,7 +230,7 @@
         heap = self._by_shape.get(key, [])
         while heap:
             share, _, group = heap[0]
-            if (group.organisation, key) not in self._groups:
+            if self._groups.get((group.organisation, key)) is not group:
                 heapq.heappop(heap)
                 continue
             current = self._organisations.get(group.organisation)
--- a/lagoonbeam/scheduler/intake.py
+++ b/lagoonbeam/scheduler/intake.py
@@ -11,6 +11,7 @@
 from lagoonbeam.core.jobs import URGENT_START_S, Job, JobStatus
 from lagoonbeam.core.messages import EnqueueJob, Heartbeat
 from lagoonbeam.core.records import JobAccepted
+from lagoonbeam.core.routing import ZoneView, choose_zone
 from lagoonbeam.core.rules import Kind, RulesDocument
 from lagoonbeam.errors import (
     InvalidRequestError,
@@ -32,12 +33,6 @@
 
 REPLICA_TIMEOUT_S = 1.0
 """Deadline of handing a copy to a peer."""
-GUARANTEE_BONUS_S = 60.0
-"""Wait that is worth going where the organisation has a guarantee."""
-OCCUPIED_COST_S = 5.0
-"""Wait that is put on zones whose free slots are too few."""
-LOCAL_BONUS_S = 1.0
-"""Wait that is worth staying in the zone of arrival."""
 
 
 class Intake:
@@ -200,22 +195,21 @@
             guarantee.availability_zone
             for guarantee in (organisation.guarantees if organisation else ())
         }
-        zone = min(
-            sorted(reachable),
-            key=lambda name: self._rate(job, active[name], name in guaranteed),
+        chosen = choose_zone(
+            job,
+            (
+                ZoneView(
+                    zone=zone,
+                    free_slots=active[zone].free_slots,
+                    expected_wait_s=active[zone].expected_wait_s,
+                    guaranteed=zone in guaranteed,
+                    local=zone == self._zone,
+                )
+                for zone in reachable
+            ),
         )
-        wait_s = active[zone].expected_wait_s
-        return zone, 0.0 if zone in guaranteed else wait_s
-
-    def _rate(self, job: Job, heartbeat: Heartbeat, guaranteed: bool) -> float:
-        """Returns the cost of a zone, as seconds of wait."""
-        slots = job.shape.members * max(1, job.shape.accelerators)
-        local = heartbeat.availability_zone == self._zone
-        cost_s = heartbeat.expected_wait_s
-        cost_s += OCCUPIED_COST_S if heartbeat.free_slots < slots else 0.0
-        cost_s -= GUARANTEE_BONUS_S if guaranteed else 0.0
-        cost_s -= LOCAL_BONUS_S if local else 0.0
-        return cost_s
+        wait_s = 0.0 if chosen.guaranteed else chosen.expected_wait_s
+        return chosen.zone, wait_s
 
     async def _accept_in_log(self, job: Job) -> JobStatus:
         await self._journal.append(
--- a/lagoonbeam/scheduler/node.py
+++ b/lagoonbeam/scheduler/node.py
@@ -345,7 +345,7 @@
             term_number=term.number,
             term_instance=term.instance,
             next_offset=state.next_offset,
-            rules_version=state.version,
+            rules_version=state.version if self.journal.caught_up else 0,
             ready=self.journal.caught_up,
             log_up=self.journal.log_up,
             free_slots=planner.free_slots if planner else 0,
--- a/lagoonbeam/scheduler/zone.py
+++ b/lagoonbeam/scheduler/zone.py
@@ -118,6 +118,7 @@
         self._by_job: dict[JobId, Gang] = {}
         self._reports: dict[WorkerName, dict[TaskId, TaskReport]] = {}
         self._fresh: set[JobId] = set()
+        self._touched: set[JobId] = set()
         self._blamed: dict[JobId, set[WorkerName]] = {}
         self._provisional: dict[JobId, Job] = {}
         self._told: dict[JobId, JobFinished] = {}
@@ -305,6 +306,7 @@
         job_id = record.job_id
         self._told.pop(job_id, None)
         self._fresh.discard(job_id)
+        self._touched.discard(job_id)
         self._blamed.pop(job_id, None)
         gang = self._by_job.get(job_id)
         if gang is not None:
@@ -497,7 +499,11 @@
         job = gang.job
         self._emit("gang.launching", gang)
         launched = await self._launcher.launch(gang)
+        if not launched and not gang.started:
+            await self._requeue_unlaunched(gang)
+            return
         gang.launching = False
+        self._touched.add(job.job_id)
         if launched:
             self.planner.started(job.job_id)
             self._emit("gang.started", gang)
@@ -508,11 +514,8 @@
             self._context.announce(replace(status, started_at_s=time.time()))
             if gang.stopping:
                 await self._launcher.stop(gang, checkpoint=job.checkpointable)
-        elif gang.started:
-            self._stop_gang(gang, "a member did not start", checkpoint=False)
         else:
-            await self._requeue_unlaunched(gang)
-            return
+            self._stop_gang(gang, "a member did not start", checkpoint=False)
         self._review(gang)
 
     async def _requeue_unlaunched(self, gang: Gang) -> None:
@@ -595,7 +598,7 @@
 
     def _review_failed(self, gang: Gang, failed: list[Member]) -> None:
         job = gang.job
-        gang.planned.excluded_workers.update(m.worker for m in failed)
+        gang.planned.exclude(m.worker for m in failed)
         blamed = self._blamed.setdefault(job.job_id, set())
         blamed.update(m.worker for m in failed)
         counted = [w for w in blamed if not self._health.is_blamed(w)]
@@ -626,7 +629,7 @@
     def _requeue(self, gang: Gang) -> None:
         self._forget_gang(gang)
         if len(gang.planned.excluded_workers) >= len(self.links):
-            gang.planned.excluded_workers.clear()
+            gang.planned.include_all()
         self.planner.requeue(gang.job.job_id, done_s=gang.saved_s)
         self.wake()
 
@@ -645,18 +648,18 @@
         self.wake()
 
     def _deny(self, job: Job, detail: str, doubtful: Outcome) -> None:
-        """Ends a job that this term did not launch.
+        """Ends a job that is queued.
 
         Args:
             job: The job.
             detail: Why it ends.
-            doubtful: Outcome to tell if an earlier term may have started it
-                on a worker that has not answered since.
+            doubtful: Outcome to tell if it ran before, or if an earlier term
+                may have started it on a worker that has not answered since.
         """
         if self._can_deny(job):
             self._finish(job, Outcome.DID_NOT_RUN, detail)
         else:
-            doubt = "an earlier scheduler may have started it"
+            doubt = "it was started before or may have been"
             self._finish(job, doubtful, f"{detail}; {doubt}")
 
     def _can_deny(self, job: Job) -> bool:
@@ -664,6 +667,8 @@
         entry = self._journal.state.jobs.get(job.job_id)
         if entry is not None and entry.intent is not None:
             return False
+        if job.job_id in self._touched:
+            return False
         if job.job_id in self._fresh:
             return True
         fenced = all(link.synced for link in self.links.values())
@@ -871,6 +876,7 @@
             return
         self._gangs[attempt] = gang
         self._by_job[job_id] = gang
+        self._touched.add(job_id)
         if job_id not in self._journal.state.jobs:
             self._provisional[job_id] = gang.job
             self._journal.append_later(JobAccepted(job=gang.job))
--- /dev/null
+++ b/tests/fakes.py
@@ -0,0 +1,344 @@
+"""Small fakes at the interfaces: a log and workers in memory."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import AsyncIterator, Sequence
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+
+import anyio
+import anyio.abc
+import msgspec
+
+from lagoonbeam.core.events import EventLog
+from lagoonbeam.core.faultpoints import FaultPoints
+from lagoonbeam.core.jobs import GangShape, Job, JobStatus
+from lagoonbeam.core.messages import LogEntry
+from lagoonbeam.core.metrics import Metrics
+from lagoonbeam.core.records import JobAccepted, Term, TermStarted
+from lagoonbeam.core.settings import (
+    Address,
+    EndpointsSettings,
+    InstancesSettings,
+    LogSettings,
+    MetricsSettings,
+    SchedulerSettings,
+)
+from lagoonbeam.endpoints import ENDPOINTS
+from lagoonbeam.endpoints.base import (
+    EndpointDriver,
+    SyncReply,
+    SyncRequest,
+    TaskOrder,
+    TaskReport,
+    TaskState,
+)
+from lagoonbeam.errors import (
+    LogTruncatedError,
+    LogUnavailableError,
+    StaleTermError,
+    WorkerRefusedError,
+    WorkerUnreachableError,
+)
+from lagoonbeam.instances.base import InstanceEntry
+from lagoonbeam.log.base import LogPage, LogStore
+from lagoonbeam.scheduler.journal import Journal
+from lagoonbeam.scheduler.zone import ZoneContext, ZoneScheduler
+
+ZONE = "z1"
+TERM = Term(1, "z1-0")
+
+
+class FakeLog(LogStore):
+    """A log in memory; faults are switched by its attributes."""
+
+    def __init__(self) -> None:
+        super().__init__(LogSettings(url="memory"))
+        self.entries: list[bytes] = []
+        self.oldest = 0
+        self.down = False
+        self.lose_answers = 0
+        self.appends = 0
+
+    async def append(self, data: bytes) -> int:
+        self.appends += 1
+        await anyio.sleep(0)
+        if self.down:
+            raise LogUnavailableError("down")
+        self.entries.append(data)
+        if self.lose_answers:
+            self.lose_answers -= 1
+            raise LogUnavailableError("lost")
+        return len(self.entries) - 1
+
+    async def read(
+        self, first: int, *, limit: int = 500, wait_s: float = 0.0
+    ) -> LogPage:
+        deadline_s = time.monotonic() + wait_s
+        while first >= len(self.entries) and time.monotonic() < deadline_s:
+            await anyio.sleep(0.005)
+            if self.down:
+                break
+        if self.down:
+            raise LogUnavailableError("down")
+        if first < self.oldest:
+            raise LogTruncatedError("gone", oldest_offset=self.oldest)
+        entries = [
+            LogEntry(offset, data)
+            for offset, data in enumerate(self.entries)
+            if offset >= first
+        ]
+        return LogPage(entries[:limit], self.oldest, len(self.entries))
+
+
+@dataclass
+class FakeWorker:
+    """A worker in memory, whose tasks end when the test says so."""
+
+    name: str
+    term: Term = field(default_factory=Term)
+    incarnation: str = "1"
+    tasks: dict[str, TaskReport] = field(default_factory=dict)
+    starts: list[str] = field(default_factory=list)
+    renewed: list[str] = field(default_factory=list)
+    silent: bool = False
+    lose_answers: bool = False
+    refuse: bool = False
+    fail_all: bool = False
+    revision: int = 0
+
+    def set_state(self, task_id: str, state: TaskState) -> None:
+        report = self.tasks[task_id]
+        started = report.started or state is TaskState.RUNNING
+        self.tasks[task_id] = msgspec.structs.replace(
+            report, state=state, started=started, result=f"r{report.member}"
+        )
+        self.revision += 1
+
+    def complete_all(self) -> None:
+        for task_id, report in self.tasks.items():
+            if report.state is TaskState.RUNNING:
+                self.set_state(task_id, TaskState.COMPLETED)
+
+    def crash(self) -> None:
+        self.tasks.clear()
+        self.incarnation = str(int(self.incarnation) + 1)
+        self.term = Term()
+        self.revision += 1
+
+
+WORKERS: dict[str, FakeWorker] = {}
+
+
+@ENDPOINTS.register("fake")
+class FakeDriver(EndpointDriver):
+    """Commands a `FakeWorker`, found by its name as URL."""
+
+    @property
+    def worker(self) -> FakeWorker:
+        return WORKERS[self.url]
+
+    async def _meet(self, term: Term) -> None:
+        await anyio.sleep(0)
+        if self.worker.silent:
+            raise WorkerUnreachableError("silent")
+        if term < self.worker.term:
+            newest = self.worker.term
+            raise StaleTermError(
+                "stale", number=newest.number, instance=newest.instance
+            )
+        self.worker.term = term
+
+    def _answer(self) -> None:
+        if self.worker.lose_answers:
+            raise WorkerUnreachableError("lost")
+
+    async def sync(self, request: SyncRequest) -> SyncReply:
+        await self._meet(request.term)
+        worker = self.worker
+        worker.renewed = list(request.renew)
+        for task_id in request.forget:
+            worker.tasks.pop(task_id, None)
+        deadline_s = time.monotonic() + request.wait_s
+        while worker.revision == request.seen and time.monotonic() < deadline_s:
+            await anyio.sleep(0.005)
+            await self._meet(request.term)
+        return SyncReply(
+            worker.incarnation,
+            worker.revision,
+            tasks=list(worker.tasks.values()),
+        )
+
+    async def reserve(
+        self, term: Term, tasks: Sequence[TaskOrder], *, lease_s: float
+    ) -> str:
+        await self._meet(term)
+        if self.worker.refuse:
+            raise WorkerRefusedError("no_room")
+        for order in tasks:
+            self.worker.tasks[order.task_id] = TaskReport(
+                task_id=order.task_id,
+                job_id=order.job_id,
+                attempt=order.attempt,
+                member=order.member,
+                members=order.members,
+                first_slot=order.first_slot,
+                slots=order.slots,
+                state=TaskState.RESERVED,
+                annotation=order.annotation,
+            )
+        self._answer()
+        return self.worker.incarnation
+
+    async def run(
+        self, term: Term, task_ids: Sequence[str], *, lease_s: float
+    ) -> None:
+        await self._meet(term)
+        for task_id in task_ids:
+            if task_id not in self.worker.tasks:
+                raise WorkerRefusedError("unknown_task")
+            if self.worker.tasks[task_id].state is TaskState.RESERVED:
+                self.worker.starts.append(task_id)
+                self.worker.set_state(task_id, TaskState.RUNNING)
+                if self.worker.fail_all:
+                    self.worker.set_state(task_id, TaskState.FAILED)
+        self._answer()
+
+    async def stop(
+        self, term: Term, task_ids: Sequence[str], *, checkpoint: bool
+    ) -> None:
+        await self._meet(term)
+        ended = TaskState.CHECKPOINTED if checkpoint else TaskState.STOPPED
+        for task_id in task_ids:
+            report = self.worker.tasks.get(task_id)
+            if report is None or report.state.has_ended:
+                continue
+            reserved = report.state is TaskState.RESERVED
+            state = TaskState.STOPPED if reserved else ended
+            self.worker.set_state(task_id, state)
+
+
+def make_settings(**fields: object) -> SchedulerSettings:
+    return SchedulerSettings(
+        instance="z1-0",
+        availability_zone=ZONE,
+        listen=Address(port=1),
+        log=LogSettings(url="memory", linger_s=0.005),
+        instances=InstancesSettings(url="memory"),
+        endpoints=EndpointsSettings(
+            plugin="fake",
+            lease_s=0.5,
+            sync_wait_s=0.05,
+            command_timeout_s=0.1,
+        ),
+        append_timeout_s=0.3,
+        **fields,  # type: ignore[arg-type]
+    )
+
+
+@dataclass
+class ZoneBench:
+    """A zone's scheduler over a fake log and fake workers."""
+
+    log: FakeLog
+    journal: Journal
+    zone: ZoneScheduler
+    workers: dict[str, FakeWorker]
+    announced: list[JobStatus]
+    events: EventLog
+    tasks: anyio.abc.TaskGroup
+    stale: list[Term]
+
+    async def submit(self, job: Job) -> None:
+        await self.journal.append(JobAccepted(job=job), timeout_s=1.0)
+
+    async def wait_outcome(self, job_id: str) -> str:
+        with anyio.fail_after(5):
+            while True:
+                status = self.journal.state.describe_job(job_id)
+                if status is not None and status.outcome:
+                    return status.outcome
+                await anyio.sleep(0.01)
+
+    async def wait_running(self, count: int = 1) -> None:
+        with anyio.fail_after(5):
+            while self.count_running() < count:
+                await anyio.sleep(0.01)
+
+    def count_running(self) -> int:
+        return sum(
+            report.state is TaskState.RUNNING
+            for worker in self.workers.values()
+            for report in worker.tasks.values()
+        )
+
+    @property
+    def starts(self) -> list[str]:
+        return [s for worker in self.workers.values() for s in worker.starts]
+
+
+def make_job(job_id: str = "j1", **fields: object) -> Job:
+    members = fields.pop("members", 1)
+    shape = GangShape(members=members)  # type: ignore[arg-type]
+    return Job(
+        job_id,
+        "armor",
+        "kiosk",
+        "edge",
+        shape=shape,
+        availability_zone=ZONE,
+        accepted_at_s=time.time(),
+        **fields,  # type: ignore[arg-type]
+    )
+
+
+@asynccontextmanager
+async def run_zone(
+    *,
+    workers: dict[str, FakeWorker] | None = None,
+    log: FakeLog | None = None,
+    term: Term = TERM,
+    count: int = 2,
+) -> AsyncIterator[ZoneBench]:
+    """Runs a zone's scheduler for the time of the block."""
+    log = log or FakeLog()
+    names = [f"w{index}" for index in range(count)]
+    workers = workers or {name: FakeWorker(name) for name in names}
+    WORKERS.clear()
+    WORKERS.update(workers)
+    events = EventLog(
+        program="scheduler", instance=term.instance, availability_zone=ZONE
+    )
+    journal = Journal(log, writer="z1-0", linger_s=0.005, events=events)
+    announced: list[JobStatus] = []
+    stale: list[Term] = []
+    settings = make_settings()
+    context = ZoneContext(
+        settings=settings,
+        journal=journal,
+        events=events,
+        metrics=Metrics(MetricsSettings(), instance="z1-0"),
+        faults=FaultPoints(),
+        announce=announced.append,
+        on_stale=stale.append,
+    )
+    entries = [
+        InstanceEntry(name, "worker", ZONE, url=name, rack="r0", position=index)
+        for index, name in enumerate(workers)
+    ]
+    async with anyio.create_task_group() as tasks:
+        await journal.start(tasks)
+        with anyio.fail_after(5):
+            while not journal.caught_up and not log.down:
+                await anyio.sleep(0.005)
+        zone = ZoneScheduler(context, term)
+        tasks.start_soon(zone.run, entries)
+        journal.append_later(TermStarted(availability_zone=ZONE, term=term))
+        with anyio.fail_after(5):
+            while not zone.recovered:
+                await anyio.sleep(0.005)
+        yield ZoneBench(
+            log, journal, zone, workers, announced, events, tasks, stale
+        )
+        tasks.cancel_scope.cancel()
