Placement that keeps gangs running: patience, bound cells first, turns by share

A count of evictions by kind showed guaranteed one-slot work stopping 32-slot gangs, each organisation binding a whole empty worker for one small job, the reservation going to whoever was queued first (the flood's own jobs), and a reserved gang that was never offered because another of its shape was.

--- a/lagoonbeam/core/planned.py
+++ b/lagoonbeam/core/planned.py
@@ -109,7 +109,6 @@
         started_at_s: When it was started; 0 before.
         done_s: Run time that a checkpoint preserved.
         stopping: Whether it has been told to stop.
-        cancelled: Whether it left the queue; kept there until met.
         excluded_workers: Workers on which it has failed.
     """
 
@@ -121,7 +120,6 @@
     started_at_s: float = 0.0
     done_s: float = 0.0
     stopping: bool = False
-    cancelled: bool = False
     excluded_workers: set[str] = field(default_factory=set)
 
     @functools.cached_property
--- a/lagoonbeam/core/planner.py
+++ b/lagoonbeam/core/planner.py
@@ -8,13 +8,19 @@
 from __future__ import annotations
 
 import collections
+import heapq
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
 from lagoonbeam.core.cells import LEVELS, WORKER_SPAN, Cell, get_level, round_up
 from lagoonbeam.core.estimates import RunTimeEstimator
 from lagoonbeam.core.jobs import Job
-from lagoonbeam.core.planned import Placement, PlannedJob, Standing
+from lagoonbeam.core.planned import (
+    Placement,
+    PlannedJob,
+    ShapeKey,
+    Standing,
+)
 from lagoonbeam.core.pool import Pool, WorkerHealth, WorkerShape
 from lagoonbeam.core.reservation import Reservation, plan_reservation
 from lagoonbeam.core.rules import PolicyChoice, RulesDocument
@@ -24,7 +30,7 @@
     InvariantError,
 )
 from lagoonbeam.ordering import ORDERINGS, Candidate, OrderingPolicy, Route
-from lagoonbeam.placement import PLACEMENTS, PlacementPolicy
+from lagoonbeam.placement import PLACEMENTS, PlacementPolicy, Reach
 from lagoonbeam.preemption import PREEMPTIONS, PreemptionPolicy
 from lagoonbeam.types import JobId, OrganisationName, WorkerName, ZoneName
 
@@ -32,8 +38,11 @@
 """Wait after which a gang that does not fit gets a reservation."""
 REPLAN_AFTER_S = 30.0
 """Age at which a reservation is planned anew."""
-MOVE_AFTER_S = 10.0
-"""Wait after which lent work may be moved to make room for a gang."""
+GUARD_AFTER_S = 60.0
+"""Wait after which a job keeps its organisation's guarantee for itself."""
+RECLAIM_AFTER_S = {"urgent": 0.0, "normal": 30.0, "batch": 120.0}
+"""Wait for free cells, by urgency, before lent work is stopped for a job's
+guarantee; slots often become free sooner than what a stopped gang loses."""
 
 
 @dataclass(frozen=True)
@@ -94,9 +103,16 @@
         self._now = now
         self._policies = policies or PolicyChoice()
         self._urgent_fraction = 0.1
-        self._urgent_lent_slots = 0
+        self._urgent_by_organisation: collections.Counter[OrganisationName] = (
+            collections.Counter()
+        )
         self._waiting: dict[JobId, PlannedJob] = {}
+        self._blocked: dict[ShapeKey, PlannedJob] = {}
         self._promised: dict[JobId, None] = {}
+        self._displaced: list[PlannedJob] = []
+        self._nudged: dict[JobId, JobId] = {}
+        self._guards: dict[OrganisationName, JobId] = {}
+        self._due: list[tuple[float, OrganisationName]] = []
         self._ready: list[Decision] = []
         self._victims: dict[JobId, set[JobId]] = collections.defaultdict(set)
         self._reservation: Reservation | None = None
@@ -195,6 +211,7 @@
         ]
         if len(faults) == len(self.pools):
             raise ImpossibleShapeError(f"zone {self.zone!r}: {faults[0]}")
+        self._check_unstoppable(job)
 
     def submit(self, job: Job, *, queued_at_s: float | None = None) -> None:
         """Queues a job; one that is known already is ignored."""
@@ -231,8 +248,7 @@
         planned.estimated_run_s = self.estimator.estimate(job)
         planned.started_at_s = self._now()
         self.jobs[job.job_id] = planned
-        if self._is_urgent_lent(planned):
-            self._urgent_lent_slots += placement.slots
+        self._count_urgent(planned, 1)
         return planned
 
     def cancel(self, job_id: JobId) -> bool:
@@ -282,6 +298,8 @@
         Raises:
             GuaranteeViolatedError: If a decision broke a guarantee.
         """
+        self._reopen_due()
+        self._start_reserved()
         for candidate in self._ordering.iterate():
             self.counters.attempts += 1
             if self._try_place(candidate):
@@ -289,8 +307,12 @@
                 self._check_guarantees()
             else:
                 self._ordering.skip(candidate)
+                self._note_blocked(candidate)
         if self._ordering.reserves:
             self._reserve()
+        for planned in self._displaced:
+            self._enqueue(planned)
+        self._displaced.clear()
         decisions, self._ready = self._ready, []
         return decisions
 
@@ -323,12 +345,9 @@
         for victim in planned.waits_for:
             self._victims[victim].discard(job_id)
         for cell in placement.cells:
-            for slot in cell.range:
-                if pool.occupants.get(slot) == job_id:
-                    pool.vacate(Cell(slot, 1), job_id)
+            pool.withdraw(cell, job_id)
         self._release_claims(pool, planned, placement)
-        if self._is_urgent_lent(planned):
-            self._urgent_lent_slots -= placement.slots
+        self._count_urgent(planned, -1)
         planned.placement = None
         planned.waits_for.clear()
         self._promised.pop(job_id, None)
@@ -399,6 +418,27 @@
             f" {shape.adjacency!r}, expected at most {room} members"
         )
 
+    def _check_unstoppable(self, job: Job) -> None:
+        """Checks that work that cannot be stopped has cells to run on.
+
+        Raises:
+            ImpossibleShapeError: If others are guaranteed too many.
+        """
+        if job.stoppable:
+            return
+        rooms = []
+        for pool in self._list_pools(job):
+            others = pool.book.count_promised_to_others(job.organisation)
+            slots = round_up(pool.count_member_slots(job.shape))
+            rooms.append(pool.total_slots - others)
+            if slots * job.shape.members <= rooms[-1]:
+                return
+        raise ImpossibleShapeError(
+            f"zone {self.zone!r}: a job that can be neither stopped nor"
+            f" repeated may use the {max(rooms)} slots that no other"
+            " organisation is guaranteed; it needs more"
+        )
+
     def _enqueue(self, planned: PlannedJob) -> None:
         planned.estimated_run_s = self.estimator.estimate(planned.job)
         self._waiting[planned.job.job_id] = planned
@@ -407,6 +447,7 @@
 
     def _dequeue(self, planned: PlannedJob) -> None:
         del self._waiting[planned.job.job_id]
+        self._nudged.pop(planned.job.job_id, None)
         self._count_queued(planned, -1)
 
     def _count_queued(self, planned: PlannedJob, sign: int) -> None:
@@ -427,8 +468,7 @@
         for cell in placement.cells:
             pool.vacate(cell, job_id)
         self._release_claims(pool, planned, placement)
-        if self._is_urgent_lent(planned):
-            self._urgent_lent_slots -= placement.slots
+        self._count_urgent(planned, -1)
         planned.placement = None
         for waiter_id in self._victims.pop(job_id, ()):
             waiter = self.jobs.get(waiter_id)
@@ -440,9 +480,7 @@
         assert waiter.placement is not None
         waiter.waits_for.discard(left)
         for cell in waiter.placement.cells:
-            for slot in cell.range:
-                if slot not in pool.occupants:
-                    pool.occupy(Cell(slot, 1), waiter.job.job_id)
+            pool.move_in(cell, waiter.job.job_id)
         if not waiter.waits_for:
             del self._promised[waiter.job.job_id]
             self._ready.append(Start(waiter, waiter.placement))
@@ -474,50 +512,187 @@
                 placement = self._place_guaranteed(pool, planned)
             else:
                 placement = self._place_free(pool, planned)
-            if placement is None:
+            if placement is None or self._would_loop(pool, placement):
                 continue
             try:
                 self._take_claims(pool, planned, placement)
             except InvariantError:
                 self.counters.refused_claims += 1
                 continue
-            self._commit(pool, candidate, placement)
+            self._commit(pool, planned, placement)
+            self._ordering.accept(candidate)
             return True
         return False
 
+    def _would_loop(self, pool: Pool, placement: Placement) -> bool:
+        """Whether lent work would displace jobs that wait for cells.
+
+        Only work with a claim may, and claims never overlap, so no two jobs
+        can displace each other in turn.
+        """
+        if placement.standing is not Standing.LENT:
+            return False
+        return any(
+            pool.list_promised(cell)
+            or pool.list_occupants(cell) & self._promised.keys()
+            for cell in placement.cells
+        )
+
+    def _start_reserved(self) -> None:
+        """Places the gang of the reservation once all its cells are free."""
+        reservation = self._reservation
+        if reservation is None:
+            return
+        pool, planned = reservation.pool, reservation.planned
+        if not all(pool.held.is_free(cell) for cell in reservation.cells):
+            return
+        stoppable = planned.job.stoppable
+        placement = Placement(
+            pool.accelerated,
+            reservation.cells,
+            Standing.LENT if stoppable else Standing.EXCLUSIVE,
+        )
+        self._drop_reservation(planned.job.job_id)
+        try:
+            self._take_claims(pool, planned, placement)
+        except InvariantError:
+            self.counters.refused_claims += 1
+            return
+        self._commit(pool, planned, placement)
+        self._ordering.take(planned)
+        self.counters.decisions += 1
+
     def _place_guaranteed(
         self, pool: Pool, planned: PlannedJob
     ) -> Placement | None:
-        if not pool.book.has_promise(planned.job.organisation):
+        """Places work on its guarantee.
+
+        Idle cells that are bound already go first. Work that may be stopped
+        then takes free cells, which leaves whole workers unbound. Others are
+        reclaimed last.
+        """
+        name = planned.job.organisation
+        if not pool.book.has_promise(name):
+            return None
+        if self._is_guarded(planned):
             return None
-        return self._placement.place_guaranteed(pool, planned, self._preemption)
+        placement = self._reach(pool, planned, Reach.BOUND)
+        if placement is None and planned.job.stoppable:
+            placement = self._placement.place_free(pool, planned, pool.free)
+        elif placement is None:
+            placement = self._reach(pool, planned, Reach.IDLE)
+        if placement is None and self._is_out_of_patience(planned):
+            placement = self._choose_cheaper(
+                pool,
+                self._reach(pool, planned, Reach.ANY),
+                self._place_urgent(pool, planned),
+            )
+        if placement is None and planned.key.urgent:
+            self._nudge(pool, planned)
+        elif placement is None and self._is_starving(planned):
+            self._guards.setdefault(name, planned.job.job_id)
+        return placement
+
+    def _reach(
+        self, pool: Pool, planned: PlannedJob, reach: Reach
+    ) -> Placement | None:
+        return self._placement.place_guaranteed(
+            pool, planned, self._preemption, reach=reach
+        )
+
+    def _choose_cheaper(
+        self, pool: Pool, first: Placement | None, second: Placement | None
+    ) -> Placement | None:
+        """Returns the placement whose victims lose the least."""
+        found = [each for each in (first, second) if each is not None]
+        return min(
+            found,
+            key=lambda each: self._preemption.weigh(
+                set().union(*map(pool.list_occupants, each.cells))
+            ),
+            default=None,
+        )
+
+    def _is_starving(self, planned: PlannedJob) -> bool:
+        return self._now() - planned.queued_at_s > GUARD_AFTER_S
+
+    def _is_guarded(self, planned: PlannedJob) -> bool:
+        """Whether a starving job of the organisation keeps its guarantee.
+
+        Without this, small work that comes all the time would never leave
+        room for a large job on the same guarantee.
+        """
+        name = planned.job.organisation
+        guard = self._guards.get(name)
+        if guard is not None and guard not in self._waiting:
+            del self._guards[name]
+            guard = None
+        return (
+            guard not in (None, planned.job.job_id) and not planned.key.urgent
+        )
+
+    def _is_out_of_patience(self, planned: PlannedJob) -> bool:
+        """Whether a job has waited long enough to reclaim its guarantee."""
+        patience_s = RECLAIM_AFTER_S[planned.job.urgency or "normal"]
+        due_s = planned.queued_at_s + patience_s
+        if self._now() >= due_s:
+            return True
+        heapq.heappush(self._due, (due_s, planned.job.organisation))
+        return False
+
+    def _reopen_due(self) -> None:
+        """Offers guarantees again to jobs that have waited long enough."""
+        while self._due and self._due[0][0] <= self._now():
+            _, organisation = heapq.heappop(self._due)
+            self._ordering.reopen(organisation)
+
+    def _nudge(self, pool: Pool, planned: PlannedJob) -> None:
+        """Stops less urgent work on the same organisation's guarantee.
+
+        The cells are not promised: the urgent job is the first that its
+        organisation's guarantee is offered to once they are free.
+        """
+        if self._nudged.get(planned.job.job_id) in self.jobs:
+            return
+        slots = round_up(pool.count_member_slots(planned.job.shape))
+        victims = (
+            other
+            for other in self.jobs.values()
+            if other.job.organisation == planned.job.organisation
+            and other.rank > planned.rank
+            and other.job.stoppable
+            and not other.stopping
+            and other.started_at_s
+            and other.placement is not None
+            and other.placement.standing is Standing.GUARANTEED
+            and other.placement.slots >= slots * planned.job.shape.members
+        )
+        victim = min(
+            victims,
+            key=lambda each: self._preemption.weigh([each.job.job_id]),
+            default=None,
+        )
+        if victim is None or not self._preemption.allows_nudges:
+            return
+        self._nudged[planned.job.job_id] = victim.job.job_id
+        self._stop(victim, "own urgent work")
 
     def _place_free(self, pool: Pool, planned: PlannedJob) -> Placement | None:
         reservation = self._reservation
-        if reservation and reservation.planned is planned:
-            return self._place_reserved(reservation)
-        if planned.key.urgent and self._exceeds_urgent_share(planned):
-            return None
         placement = self._placement.place_free(pool, planned, pool.free)
         if placement is None and reservation and reservation.pool is pool:
             end_s = self._now() + planned.estimated_run_s
             if end_s <= reservation.start_s:
                 placement = self._placement.place_free(pool, planned, pool.held)
-        if placement is None and planned.key.urgent:
-            placement = self._place_over_lent(pool, planned)
-        return placement
+        return placement or self._place_urgent(pool, planned)
 
-    def _place_reserved(self, reservation: Reservation) -> Placement | None:
-        pool = reservation.pool
-        self._reservation = None
-        pool.unhold()
-        placement = self._placement.place_free(
-            pool, reservation.planned, pool.free
-        )
-        if placement is None:
-            self._reservation = reservation
-            pool.hold(list(reservation.cells))
-        return placement
+    def _place_urgent(
+        self, pool: Pool, planned: PlannedJob
+    ) -> Placement | None:
+        """Places urgent work over lent work, within the share it may have."""
+        if not planned.key.urgent or not self._has_urgent_share(planned):
+            return None
+        return self._place_over_lent(pool, planned)
 
     def _place_over_lent(
         self, pool: Pool, planned: PlannedJob
@@ -527,43 +702,59 @@
         slots = round_up(pool.count_member_slots(shape))
         if shape.members > 1 or slots > WORKER_SPAN:
             return None
-        if not planned.job.stoppable:
-            return None
-        victims = (
-            other
+        candidates = (
+            (other, cell)
             for other in self.jobs.values()
             if other.placement is not None
             and other.placement.accelerated == pool.accelerated
             and not other.stopping
-            and any(cell.slots >= slots for cell in other.placement.cells)
+            and other.started_at_s
             and self._preemption.may_preempt(planned, other.job.job_id)
+            for cell in other.placement.cells
+            if cell.slots >= slots
         )
-        victim = min(
-            victims,
-            key=lambda each: self._preemption.weigh([each.job.job_id]),
-            default=None,
+        usable = (
+            (other, Cell(cell.start, slots))
+            for other, cell in candidates
+            if not pool.is_closed(cell)
+            and (
+                planned.job.stoppable
+                or pool.book.unclaimed.is_free(Cell(cell.start, slots))
+            )
         )
-        if victim is None or victim.placement is None:
-            return None
-        cell = next(
-            (
-                cell
-                for cell in victim.placement.cells
-                if cell.slots >= slots and not pool.is_closed(cell)
-            ),
-            None,
+        best = min(
+            usable,
+            key=lambda each: self._preemption.weigh([each[0].job.job_id]),
+            default=None,
         )
-        if cell is None:
+        if best is None:
             return None
-        return Placement(
-            pool.accelerated, (Cell(cell.start, slots),), Standing.LENT
+        standing = (
+            Standing.LENT if planned.job.stoppable else Standing.EXCLUSIVE
         )
+        return Placement(pool.accelerated, (best[1],), standing)
 
-    def _exceeds_urgent_share(self, planned: PlannedJob) -> bool:
+    def _has_urgent_share(self, planned: PlannedJob) -> bool:
+        """Whether urgent work may go before the rest outside guarantees.
+
+        No organisation gets more than half of what all may have.
+        """
         shape = planned.job.shape
         wanted = shape.members * max(1, shape.accelerators)
-        room = max(1.0, self._urgent_fraction * self.total_slots)
-        return self._urgent_lent_slots + wanted > room
+        share = self._urgent_fraction * self.total_slots
+        held = self._urgent_by_organisation
+        own = held[planned.job.organisation] + wanted
+        return own <= max(1.0, share / 2) and held.total() + wanted <= share
+
+    def _count_urgent(self, planned: PlannedJob, sign: int) -> None:
+        if not self._is_urgent_lent(planned) or planned.placement is None:
+            return
+        name = planned.job.organisation
+        self._urgent_by_organisation[name] += sign * planned.placement.slots
+        share = self._urgent_fraction * self.total_slots
+        self._ordering.urgent_first = (
+            self._urgent_by_organisation.total() < share
+        )
 
     def _is_urgent_lent(self, planned: PlannedJob) -> bool:
         placement = planned.placement
@@ -574,18 +765,16 @@
         )
 
     def _commit(
-        self, pool: Pool, candidate: Candidate, placement: Placement
+        self, pool: Pool, planned: PlannedJob, placement: Placement
     ) -> None:
-        planned = candidate.planned
         job_id = planned.job.job_id
         self._drop_reservation(job_id)
+        self._displace(pool, placement)
         planned.placement = placement
         for cell in placement.cells:
             planned.waits_for |= pool.promise(cell, job_id)
-        if self._is_urgent_lent(planned):
-            self._urgent_lent_slots += placement.slots
+        self._count_urgent(planned, 1)
         self._dequeue(planned)
-        self._ordering.accept(candidate)
         for victim_id in planned.waits_for:
             self._victims[victim_id].add(job_id)
             self._stop(self.jobs[victim_id], "reclaim")
@@ -594,6 +783,19 @@
         else:
             self._ready.append(Start(planned, placement))
 
+    def _displace(self, pool: Pool, placement: Placement) -> None:
+        """Takes out jobs that wait for cells another job now gets.
+
+        They are queued again after the pass, so that a pass always ends.
+        """
+        waiting: set[JobId] = set()
+        for cell in placement.cells:
+            waiting |= pool.list_promised(cell)
+            waiting |= pool.list_occupants(cell) & self._promised.keys()
+        for job_id in waiting:
+            self.abandon(job_id)
+            self._displaced.append(self.jobs[job_id])
+
     def _stop(self, victim: PlannedJob, cause: str) -> None:
         if victim.stopping:
             return
@@ -670,20 +872,12 @@
         now_s = self._now()
         current = self._reservation
         if current is not None:
-            if now_s - current.made_s < REPLAN_AFTER_S:
+            if now_s < current.made_s + REPLAN_AFTER_S:
                 return
             self._drop_reservation(current.planned.job.job_id)
             self._ordering.reopen(None)
-        oldest = next(
-            (
-                planned
-                for planned in self._waiting.values()
-                if planned.job.shape.members > 1
-                or planned.job.shape.accelerators > 1
-            ),
-            None,
-        )
-        if oldest is None or now_s - oldest.queued_at_s < RESERVE_AFTER_S:
+        oldest = self._choose_blocked()
+        if oldest is None:
             return
         for pool in self._list_pools(oldest.job):
             reservation = plan_reservation(
@@ -695,6 +889,29 @@
                 self.counters.reservations += 1
                 return
 
+    def _note_blocked(self, candidate: Candidate) -> None:
+        planned = candidate.planned
+        if candidate.route is Route.FREE and _may_reserve(planned):
+            self._blocked[planned.key] = planned
+
+    def _choose_blocked(self) -> PlannedJob | None:
+        """Returns the gang that does not fit and whose turn it is first."""
+        self._blocked = {
+            key: planned
+            for key, planned in self._blocked.items()
+            if planned.job.job_id in self._waiting
+        }
+        oldest_s = self._now() - RESERVE_AFTER_S
+        return min(
+            (
+                planned
+                for planned in self._blocked.values()
+                if planned.queued_at_s <= oldest_s
+            ),
+            key=self._ordering.rate,
+            default=None,
+        )
+
     def _get_end_s(self, job_id: JobId) -> float:
         return self.jobs[job_id].get_end_s(self._now())
 
@@ -703,3 +920,9 @@
         if reservation and reservation.planned.job.job_id == job_id:
             reservation.pool.unhold()
             self._reservation = None
+
+
+def _may_reserve(planned: PlannedJob) -> bool:
+    """Whether a job can starve behind smaller ones and may wait."""
+    shape = planned.job.shape
+    return not planned.key.urgent and shape.members * shape.accelerators > 1
--- a/lagoonbeam/core/pool.py
+++ b/lagoonbeam/core/pool.py
@@ -79,6 +79,7 @@
         self.held = CellSpace()
         self.book = GuaranteeBook()
         self.occupants: dict[int, JobId] = {}
+        self.promises: dict[int, JobId] = {}
         self.workers: dict[WorkerName, WorkerPlace] = {}
         self.cores_per_slot = 0.0
         self.memory_bytes_per_slot = 0
@@ -165,7 +166,7 @@
         """Gives a cell to a job that waits for others to leave it.
 
         Args:
-            cell: The cell.
+            cell: The cell; no other job waits for it.
             job_id: The job.
 
         Returns:
@@ -177,9 +178,31 @@
             if occupant is None:
                 self.occupy(Cell(slot, 1), job_id)
             else:
+                self.promises[slot] = job_id
                 leaving.add(occupant)
         return leaving
 
+    def move_in(self, cell: Cell, job_id: JobId) -> None:
+        """Gives a job the slots of its cell that others have left."""
+        for slot in cell.range:
+            if self.promises.get(slot) == job_id and slot not in self.occupants:
+                del self.promises[slot]
+                self.occupy(Cell(slot, 1), job_id)
+
+    def withdraw(self, cell: Cell, job_id: JobId) -> None:
+        """Takes back what was promised to a job and what it has of it."""
+        for slot in cell.range:
+            if self.promises.get(slot) == job_id:
+                del self.promises[slot]
+            elif self.occupants.get(slot) == job_id:
+                self.vacate(Cell(slot, 1), job_id)
+
+    def list_promised(self, cell: Cell) -> set[JobId]:
+        """Returns the jobs that wait for part of a cell."""
+        return {
+            self.promises[slot] for slot in cell.range if slot in self.promises
+        }
+
     def vacate(self, cell: Cell, job_id: JobId) -> None:
         """Takes a cell back from a job.
 
--- a/lagoonbeam/core/reservation.py
+++ b/lagoonbeam/core/reservation.py
@@ -66,7 +66,9 @@
     by_rack = [
         sorted(
             (_get_free_s(pool, cell, now_s, get_end_s), cell)
-            for cell in _list_cells(pool, rack, wanted)
+            for cell in _list_cells(
+                pool, rack, wanted, stoppable=planned.job.stoppable
+            )
         )
         for rack in pool.racks.values()
     ]
@@ -83,10 +85,17 @@
     return Reservation(planned, pool, tuple(cells), best[-1][0], now_s)
 
 
-def _list_cells(pool: Pool, rack: int, slots: int) -> list[Cell]:
+def _list_cells(
+    pool: Pool, rack: int, slots: int, *, stoppable: bool
+) -> list[Cell]:
     first = rack * RACK_SPAN
     cells = (Cell(s, slots) for s in range(first, first + RACK_SPAN, slots))
-    return [cell for cell in cells if pool.is_open(cell)]
+    return [
+        cell
+        for cell in cells
+        if pool.is_open(cell)
+        and (stoppable or pool.book.unclaimed.is_free(cell))
+    ]
 
 
 def _get_free_s(
--- a/lagoonbeam/ordering/base.py
+++ b/lagoonbeam/ordering/base.py
@@ -41,9 +41,12 @@
 
     Attributes:
         reserves: Whether the oldest starving gang gets a reservation.
+        urgent_first: Whether urgent work outside guarantees goes before the
+            rest; the planner sets it by the share that urgent work holds.
     """
 
     reserves = True
+    urgent_first = True
 
     @abstractmethod
     def set_rules(
@@ -59,6 +62,10 @@
     def discard(self, planned: PlannedJob) -> None:
         """Takes a job out of the queue."""
 
+    def take(self, planned: PlannedJob) -> None:
+        """Takes out a job that was placed without being offered."""
+        self.discard(planned)
+
     @abstractmethod
     def iterate(self) -> Iterator[Candidate]:
         """Yields the candidates of one pass."""
@@ -71,6 +78,10 @@
     def skip(self, candidate: Candidate) -> None:
         """The candidate does not fit now."""
 
+    def rate(self, planned: PlannedJob) -> tuple[float, ...]:
+        """Returns how late a queued job's turn is; lower goes first."""
+        return (planned.queued_at_s,)
+
     def reopen(self, organisation: OrganisationName | None) -> None:  # noqa: B027
         """Room was freed, in the guarantee of an organisation or in all."""
 
--- a/lagoonbeam/ordering/fair_share.py
+++ b/lagoonbeam/ordering/fair_share.py
@@ -24,7 +24,7 @@
     OrderingPolicy,
     Route,
 )
-from lagoonbeam.types import OrganisationName
+from lagoonbeam.types import JobId, OrganisationName
 
 
 class VirtualClock:
@@ -53,6 +53,14 @@
         self._times[name] = self.get(name) - cost
 
 
+@dataclass
+class _Ticket:
+    """A job's place in the queue; a dropped one is passed over."""
+
+    planned: PlannedJob
+    dropped: bool = False
+
+
 @dataclass
 class _Leaf:
     """Equal jobs of one caller, oldest first."""
@@ -60,7 +68,7 @@
     caller: str
     kind: str
     rank: int
-    jobs: collections.deque[PlannedJob] = field(
+    tickets: collections.deque[_Ticket] = field(
         default_factory=collections.deque
     )
 
@@ -97,6 +105,7 @@
         self._open: dict[OrganisationName, None] = {}
         self._closed: set[tuple[OrganisationName, ShapeKey]] = set()
         self._skipped: set[ShapeKey] = set()
+        self._tickets: dict[JobId, _Ticket] = {}
         self._sequence = 0
 
     def set_rules(
@@ -130,14 +139,21 @@
             leaf = _Leaf(job.caller, job.kind, planned.rank)
             group.leaves[leaf_key] = leaf
             self._push_leaf(group, leaf)
+        ticket = _Ticket(planned)
+        self._tickets[job.job_id] = ticket
         if planned.started_at_s:
-            leaf.jobs.appendleft(planned)
+            leaf.tickets.appendleft(ticket)
         else:
-            leaf.jobs.append(planned)
+            leaf.tickets.append(ticket)
 
     def discard(self, planned: PlannedJob) -> None:
-        """Marks a job; it is dropped when its turn comes."""
-        planned.cancelled = True
+        """Marks a job's ticket; it is passed over when its turn comes."""
+        self._tickets.pop(planned.job.job_id).dropped = True
+
+    def take(self, planned: PlannedJob) -> None:
+        """Charges a job that was placed without being offered."""
+        self.discard(planned)
+        self._charge(planned, planned.estimated_run_s)
 
     def iterate(self) -> Iterator[Candidate]:
         """Yields heads for guarantees, then heads by fair share."""
@@ -168,7 +184,8 @@
         job = planned.job
         group = self._groups[job.organisation, planned.key]
         leaf = group.leaves[job.caller, job.kind, planned.rank]
-        leaf.jobs.popleft()
+        leaf.tickets.popleft()
+        del self._tickets[job.job_id]
         self._charge(planned, planned.estimated_run_s)
         self._find_head(group)
 
@@ -180,6 +197,11 @@
         else:
             self._skipped.add(key)
 
+    def rate(self, planned: PlannedJob) -> tuple[float, ...]:
+        """Rates by the organisation's share, then by age."""
+        share = self._organisations.get(planned.job.organisation)
+        return (share, planned.rank, planned.queued_at_s)
+
     def reopen(self, organisation: OrganisationName | None) -> None:
         """Tries again what had no room."""
         self._skipped.clear()
@@ -224,7 +246,8 @@
     def _rate_shape(self, key: ShapeKey) -> tuple[bool, float]:
         """Rates the best group of a shape; urgent work goes first."""
         top = self._find_top(key)
-        return (not key.urgent, top[0] if top else math.inf)
+        goes_first = key.urgent and self.urgent_first
+        return (not goes_first, top[0] if top else math.inf)
 
     def _find_top(self, key: ShapeKey) -> tuple[float, int, _Group] | None:
         heap = self._by_shape.get(key, [])
@@ -245,14 +268,14 @@
         """Returns the group's next job; drops the group if it has none."""
         while group.heap:
             rate, _, leaf = group.heap[0]
-            while leaf.jobs and leaf.jobs[0].cancelled:
-                leaf.jobs.popleft()
-            if not leaf.jobs:
+            while leaf.tickets and leaf.tickets[0].dropped:
+                leaf.tickets.popleft()
+            if not leaf.tickets:
                 heapq.heappop(group.heap)
                 del group.leaves[leaf.caller, leaf.kind, leaf.rank]
                 continue
             if self._rate_leaf(group, leaf) <= rate:
-                return leaf.jobs[0]
+                return leaf.tickets[0].planned
             heapq.heappop(group.heap)
             self._push_leaf(group, leaf)
         self._groups.pop((group.organisation, group.key), None)
--- a/lagoonbeam/placement/base.py
+++ b/lagoonbeam/placement/base.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import enum
 from abc import ABC, abstractmethod
 from collections.abc import Iterable
 
@@ -12,6 +13,18 @@
 from lagoonbeam.preemption.base import PreemptionPolicy
 
 
+class Reach(enum.Enum):
+    """How far a job may reach for cells of its guarantee.
+
+    BOUND: idle cells that its organisation has bound already. IDLE: also bind
+    idle ones. ANY: also bind cells with lent work, which is then stopped.
+    """
+
+    BOUND = "bound"
+    IDLE = "idle"
+    ANY = "any"
+
+
 class PlacementPolicy(ABC):
     """Chooses cells for a gang; fill the two methods.
 
@@ -23,9 +36,21 @@
 
     @abstractmethod
     def place_guaranteed(
-        self, pool: Pool, planned: PlannedJob, preemption: PreemptionPolicy
+        self,
+        pool: Pool,
+        planned: PlannedJob,
+        preemption: PreemptionPolicy,
+        *,
+        reach: Reach,
     ) -> Placement | None:
-        """Returns cells in the organisation's own guarantee, or None."""
+        """Returns cells in the organisation's own guarantee, or None.
+
+        Args:
+            pool: Where to look.
+            planned: The job.
+            preemption: Weighs the work that would have to leave.
+            reach: Which cells may be used.
+        """
 
     @abstractmethod
     def place_free(
--- a/lagoonbeam/placement/cells.py
+++ b/lagoonbeam/placement/cells.py
@@ -19,11 +19,12 @@
 from lagoonbeam.placement.base import (
     PLACEMENTS,
     PlacementPolicy,
+    Reach,
     exclude_workers,
 )
 from lagoonbeam.preemption.base import PreemptionPolicy
 
-_CANDIDATES = 8
+_CANDIDATES = 32
 """Cells that are compared before one is bound."""
 
 
@@ -126,7 +127,12 @@
     """Uses the smallest cell that is large enough."""
 
     def place_guaranteed(
-        self, pool: Pool, planned: PlannedJob, preemption: PreemptionPolicy
+        self,
+        pool: Pool,
+        planned: PlannedJob,
+        preemption: PreemptionPolicy,
+        *,
+        reach: Reach,
     ) -> Placement | None:
         """Uses cells in use first, then binds unused ones.
 
@@ -138,8 +144,8 @@
         if slots > WORKER_SPAN:
             return None
         if shape.adjacency == "worker" and shape.members > 1:
-            return self._place_in_one(pool, planned, slots, preemption)
-        chooser = _GuaranteeChooser(pool, planned, preemption)
+            return self._place_in_one(pool, planned, slots, preemption, reach)
+        chooser = _GuaranteeChooser(pool, planned, preemption, reach)
         if shape.adjacency == "none" or shape.members == 1:
             chosen = chooser.choose(slots, shape.members, None)
             return self._complete(pool, planned, slots, chosen)
@@ -200,12 +206,13 @@
         planned: PlannedJob,
         slots: int,
         preemption: PreemptionPolicy,
+        reach: Reach,
     ) -> Placement | None:
         members = planned.job.shape.members
         whole = round_up(slots * members)
         if whole > WORKER_SPAN:
             return None
-        chooser = _GuaranteeChooser(pool, planned, preemption)
+        chooser = _GuaranteeChooser(pool, planned, preemption, reach)
         chosen = chooser.choose(whole, 1, None)
         if not chosen:
             return None
@@ -251,8 +258,13 @@
     """Chooses cells inside an organisation's guarantee, binding nothing."""
 
     def __init__(
-        self, pool: Pool, planned: PlannedJob, preemption: PreemptionPolicy
+        self,
+        pool: Pool,
+        planned: PlannedJob,
+        preemption: PreemptionPolicy,
+        reach: Reach,
     ):
+        self._reach = reach
         self._pool = pool
         self._planned = planned
         self._preemption = preemption
@@ -262,7 +274,7 @@
     ) -> list[tuple[Cell, Cell]]:
         """Returns cells for up to a gang's members, and who holds each."""
         chosen = list(islice(self._iterate_bound(slots, rack), members))
-        if len(chosen) < members:
+        if len(chosen) < members and self._reach is not Reach.BOUND:
             chosen += islice(
                 self._iterate_unbound(slots, rack), members - len(chosen)
             )
@@ -273,6 +285,7 @@
         return (
             rack in (None, cell.rack_index)
             and not self._pool.is_closed(cell)
+            and (self._reach is Reach.ANY or self._pool.free.is_free(cell))
             and self._pool.get_worker(cell).shape.worker not in excluded
         )
 
--- a/lagoonbeam/placement/first_fit.py
+++ b/lagoonbeam/placement/first_fit.py
@@ -16,6 +16,7 @@
 from lagoonbeam.placement.base import (
     PLACEMENTS,
     PlacementPolicy,
+    Reach,
     exclude_workers,
 )
 from lagoonbeam.placement.cells import iterate_rack, split_cell
@@ -29,7 +30,12 @@
     honours_guarantees = False
 
     def place_guaranteed(
-        self, pool: Pool, planned: PlannedJob, preemption: PreemptionPolicy
+        self,
+        pool: Pool,
+        planned: PlannedJob,
+        preemption: PreemptionPolicy,
+        *,
+        reach: Reach,
     ) -> Placement | None:
         """Knows no guarantees."""
         return None
--- a/lagoonbeam/preemption/base.py
+++ b/lagoonbeam/preemption/base.py
@@ -16,8 +16,14 @@
     Args:
         find: Returns a running job.
         now: Source of the time in seconds.
+
+    Attributes:
+        allows_nudges: Whether urgent work may stop less urgent work of its
+            own organisation.
     """
 
+    allows_nudges = True
+
     def __init__(
         self,
         find: Callable[[JobId], PlannedJob],
--- a/lagoonbeam/preemption/fewest_losses.py
+++ b/lagoonbeam/preemption/fewest_losses.py
@@ -9,7 +9,9 @@
 from lagoonbeam.types import JobId
 
 _CHECKPOINT_COST_S = 1.0
-"""What a stop costs work that keeps its progress."""
+"""Run time that a stop costs work that keeps its progress."""
+_RESTART_COST_S = 60.0
+"""Time that a stopped gang is expected to wait for its cells again."""
 
 
 @PREEMPTIONS.register("fewest_losses")
@@ -36,4 +38,4 @@
         done_s = max(0.0, self._now() - victim.started_at_s)
         if victim.job.checkpointable:
             done_s = min(done_s, _CHECKPOINT_COST_S)
-        return victim.placement.slots * (_CHECKPOINT_COST_S + done_s)
+        return victim.placement.slots * (_RESTART_COST_S + done_s)
--- a/lagoonbeam/preemption/never.py
+++ b/lagoonbeam/preemption/never.py
@@ -13,6 +13,8 @@
 class NeverPreemption(PreemptionPolicy):
     """Stops nothing."""
 
+    allows_nudges = False
+
     def weigh(self, victims: Iterable[JobId]) -> float:
         """Makes occupied cells the last choice."""
         return float(sum(1 for _ in victims))
--- a/lagoonbeam/scheduler/catalog.py
+++ b/lagoonbeam/scheduler/catalog.py
@@ -10,6 +10,7 @@
 from lagoonbeam.core.jobs import Job
 from lagoonbeam.core.planner import Planner
 from lagoonbeam.core.pool import WorkerShape
+from lagoonbeam.core.rules import RulesDocument
 from lagoonbeam.errors import ImpossibleShapeError, UnavailableError
 from lagoonbeam.instances.base import InstanceDirectory, InstanceEntry
 from lagoonbeam.types import ZoneName
@@ -30,6 +31,7 @@
         self._directory = directory
         self._on_change = on_change
         self._planners: dict[ZoneName, Planner] = {}
+        self._rules: RulesDocument | None = None
 
     async def start(self) -> None:
         """Opens the adapter."""
@@ -66,12 +68,20 @@
         """Returns the zones that have workers."""
         return sorted(self._planners)
 
-    def find_possible(self, job: Job) -> list[ZoneName]:
+    def find_possible(self, job: Job, rules: RulesDocument) -> list[ZoneName]:
         """Returns the zones whose listed workers could hold a gang.
 
+        Args:
+            job: The job.
+            rules: The rules in force.
+
         Raises:
             ImpossibleShapeError: If there is none, though workers are listed.
         """
+        if self._rules is not rules:
+            self._rules = rules
+            for planner in self._planners.values():
+                planner.set_rules(rules)
         possible = []
         faults = []
         for zone, planner in self._planners.items():
@@ -89,6 +99,7 @@
         if entries != self.entries:
             self.entries = entries
             self._planners = self._build_planners()
+            self._rules = None
         self._on_change()
 
     def _build_planners(self) -> dict[ZoneName, Planner]:
--- a/lagoonbeam/scheduler/intake.py
+++ b/lagoonbeam/scheduler/intake.py
@@ -171,7 +171,7 @@
         self, job: Job, rules: RulesDocument
     ) -> tuple[ZoneName, float]:
         """Returns the zone to run in and the wait to expect there."""
-        possible = set(self._catalog.find_possible(job))
+        possible = set(self._catalog.find_possible(job, rules))
         active = {
             heartbeat.availability_zone: heartbeat
             for heartbeat in [*self._peers.iterate_fresh(), self._get_own()]
