--- a/Makefile
+++ b/Makefile
@@ -30,3 +30,6 @@
 
 soak: setup
 	$(BIN)/python -m harness.soak --seed $(SEED) --duration-s $(DURATION_S)
+
+bench: setup
+	$(BIN)/python -m benchmarks.bench
--- a/lagoonbeam/core/guarantees.py
+++ b/lagoonbeam/core/guarantees.py
@@ -110,6 +110,10 @@
         cells = self._bound.get(organisation, {}).values()
         return [bound for bound in cells if not bound.surplus]
 
+    def list_claimed(self, organisation: OrganisationName) -> list[Cell]:
+        """Returns all cells bound by an organisation, kept or not."""
+        return list(self._bound.get(organisation, {}))
+
     def list_unbound(self, organisation: OrganisationName) -> list[int]:
         """Returns the organisation's unused cells of each level."""
         return self._unbound.get(organisation, [0] * LEVELS)
--- a/lagoonbeam/core/planner.py
+++ b/lagoonbeam/core/planner.py
@@ -179,6 +179,8 @@
         if pool is None or pool.workers[worker].health is health:
             return False
         pool.set_health(worker, health)
+        if health is not WorkerHealth.HEALTHY:
+            self._call_back(pool, worker)
         self._ordering.reopen(None)
         return True
 
@@ -524,6 +526,20 @@
             return True
         return False
 
+    def _call_back(self, pool: Pool, worker: WorkerName) -> None:
+        """Queues jobs again that were to start on a closed worker."""
+        place = pool.workers[worker]
+        ready = [
+            each.planned for each in self._ready if isinstance(each, Start)
+        ]
+        for planned in [*self.list_promised(), *ready]:
+            placement = planned.placement
+            if placement is None or placement.accelerated != pool.accelerated:
+                continue
+            if any(place in pool.list_workers(c) for c in placement.cells):
+                self.abandon(planned.job.job_id)
+                self._enqueue(planned)
+
     def _would_loop(self, pool: Pool, placement: Placement) -> bool:
         """Whether lent work would displace jobs that wait for cells.
 
