--- a/Makefile
+++ b/Makefile
@@ -33,3 +33,6 @@
 
 bench: setup
 	$(BIN)/python -m benchmarks.bench
+
+slopes: setup
+	$(BIN)/python -m benchmarks.slopes
--- /dev/null
+++ b/benchmarks/slopes.py
@@ -0,0 +1,328 @@
+"""``make slopes``: how cost grows with size, for ``docs/CAPACITY.md``.
+
+Each series varies one size over at least four points and fits a line; the
+residual is the largest distance from it, as a share of the largest value.
+The last line is one JSON object.
+"""
+
+from __future__ import annotations
+
+import argparse
+import gc
+import json
+import random
+import statistics
+import tempfile
+import time
+import tracemalloc
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+from rich.console import Console
+from rich.table import Table
+
+from benchmarks.fleets import GIB, GOAL
+from benchmarks.processes import (
+    read_cpu_s,
+    read_private_mb,
+    read_relayed_bytes,
+)
+from harness.cluster import Cluster, Plan
+from lagoonbeam.core.jobs import GangShape, Job
+from lagoonbeam.core.planner import Planner, Start
+from lagoonbeam.core.pool import WorkerShape
+from lagoonbeam.core.records import (
+    Batch,
+    JobAccepted,
+    JobFinished,
+    RulesPublished,
+    encode_batch,
+)
+from lagoonbeam.core.rules import PolicyChoice, encode_rules
+from lagoonbeam.core.state import ClusterState
+
+MEASURE_S = 12.0
+"""Time over which processor time and bytes are counted."""
+DECISIONS = 300
+
+Point = dict[str, float]
+
+
+def fit_line(points: list[tuple[float, float]]) -> dict[str, float]:
+    """Returns the least-squares line and its largest residual."""
+    xs, ys = zip(*points, strict=True)
+    slope, base = statistics.linear_regression(xs, ys)
+    worst = max(abs(y - base - slope * x) for x, y in points)
+    return {
+        "slope": slope,
+        "base": base,
+        "residual": worst / max(map(abs, ys)) if any(ys) else 0.0,
+    }
+
+
+def measure_cluster(cluster: Cluster, name: str) -> Point:
+    """Measures one instance's two processes for a while."""
+    pids = {
+        program: cluster.processes[f"{name}-{program}"].pid
+        for program in ("scheduler", "entry")
+    }
+    before = {program: read_cpu_s(pid) for program, pid in pids.items()}
+    bytes_before = read_relayed_bytes(cluster)
+    started_s = time.monotonic()
+    time.sleep(MEASURE_S)
+    passed_s = time.monotonic() - started_s
+    bytes_after = read_relayed_bytes(cluster)
+    point: Point = {}
+    for program, pid in pids.items():
+        used_s = read_cpu_s(pid) - before[program]
+        point[f"{program}_cpu_percent"] = 100 * used_s / passed_s
+        point[f"{program}_mb"] = read_private_mb(pid)
+    for (source, target), count in bytes_after.items():
+        if source != name:
+            continue
+        kind = "log" if target == "log" else "peer"
+        kind = "worker" if "-w" in target else kind
+        passed = count - bytes_before.get((source, target), 0)
+        key = f"{kind}_bytes_per_s"
+        point[key] = point.get(key, 0.0) + passed / passed_s
+    return point
+
+
+def run_cluster(
+    *, workers: int, tasks: int = 0, zones: int = 1, instances: int = 1
+) -> Point:
+    """Measures an active scheduler at one size."""
+    folder = Path(tempfile.mkdtemp(prefix="lagoonbeam-slopes-"))
+    plan = Plan(
+        zones=[f"z{index}" for index in range(zones)],
+        instances=instances,
+        workers=workers,
+        per_process=50,
+        rack_size=16,
+        organisations=["org0"],
+        scheduler={"log_level": "WARNING"},
+        relayed=True,
+    )
+    rules = {
+        "based_on": 0,
+        "organisations": [{"name": "org0", "kinds": [{"name": "train"}]}],
+    }
+    with Cluster(plan, folder) as cluster:
+        cluster.publish(rules)
+        gangs = [128] * (tasks // 128) + [tasks % 128] * (tasks % 128 > 0)
+        for members in gangs:
+            body = {
+                "caller": "c",
+                "kind": "train",
+                "shape": {"members": members},
+                "idempotent": True,
+                "payload": json.dumps({"run_s": 10_000, "answer": "x"}),
+            }
+            cluster.call(
+                "POST", "/v1/jobs", token="token-org0", json=body
+            ).raise_for_status()
+        time.sleep(5)
+        if tasks:
+            fleet = cluster.call("GET", "/v1/fleet").json()["workers"]
+            busy = sum(worker["busy_slots"] for worker in fleet)
+            if busy < tasks:
+                raise AssertionError(f"{busy} of {tasks} tasks run")
+        return measure_cluster(cluster, "z0-0")
+
+
+def time_decisions(workers: int, queued: int) -> Point:
+    """Measures a decision with a full fleet and a queue behind it."""
+    rng = random.Random(1)
+    now_s = 0.0
+    planner = Planner("z", now=lambda: now_s)
+    for index in range(workers):
+        planner.add_worker(
+            WorkerShape(f"w{index}", f"r{index // 16}", memory_bytes=512 * GIB)
+        )
+    fleet = GOAL.make_rules(PolicyChoice())
+    planner.set_rules(fleet)
+    names = [organisation.name for organisation in fleet.organisations]
+    running: list[str] = []
+
+    def submit(number: int) -> None:
+        members = rng.choice([1, 1, 1, 1, 2, 4, 8])
+        planner.submit(
+            Job(
+                f"j{number}",
+                rng.choice(names),
+                f"c{rng.randrange(5)}",
+                "train",
+                shape=GangShape(members, rng.choice([1, 2, 4, 8])),
+                declared_run_s=600.0,
+            )
+        )
+
+    def take(decisions: list[Any]) -> int:
+        started = 0
+        while decisions:
+            for decision in decisions:
+                job_id = decision.planned.job.job_id
+                if isinstance(decision, Start):
+                    planner.started(job_id)
+                    running.append(job_id)
+                    started += 1
+                else:
+                    running.remove(job_id)
+                    planner.requeue(job_id)
+            decisions = planner.decide()
+        return started
+
+    number = 0
+    while len(list(planner.waiting)) < queued:
+        for _ in range(max(queued // 4, 50)):
+            submit(number)
+            number += 1
+        take(planner.decide())
+    before = planner.counters.decisions
+    started_s = time.perf_counter()
+    for _ in range(DECISIONS):
+        now_s += 1.0
+        submit(number)
+        number += 1
+        planner.finished(running.pop(rng.randrange(len(running))))
+        take(planner.decide())
+    passed_s = time.perf_counter() - started_s
+    made = max(1, planner.counters.decisions - before)
+    return {
+        "us_per_event": 1e6 * passed_s / DECISIONS,
+        "us_per_decision": 1e6 * passed_s / made,
+    }
+
+
+def measure_state(jobs: int) -> Point:
+    """Measures the folded state with so many finished jobs."""
+    gc.collect()
+    tracemalloc.start()
+    state = ClusterState()
+    started_s = time.perf_counter()
+    entry_bytes = 0
+    for number in range(jobs):
+        job = Job(
+            f"{number:032x}",
+            f"org{number % 180}",
+            "caller",
+            "train",
+            idempotency_key=f"{number:016x}",
+            fingerprint="f" * 32,
+            payload="p" * 64,
+            availability_zone="z1",
+            accepted_at_s=1.0,
+        )
+        records = (
+            JobAccepted(job=job),
+            JobFinished(
+                job_id=job.job_id,
+                outcome="completed",
+                results=("r" * 16,),
+                finished_at_s=1.0,
+            ),
+        )
+        batch = Batch("writer", number, records)
+        entry_bytes += len(encode_batch(batch))
+        state.fold(number, batch)
+    fold_s = time.perf_counter() - started_s
+    size, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    started_s = time.perf_counter()
+    image = state.encode()
+    encode_s = time.perf_counter() - started_s
+    started_s = time.perf_counter()
+    ClusterState().load(image)
+    load_s = time.perf_counter() - started_s
+    return {
+        "state_kb": size / 1024,
+        "fold_ms": 1e3 * fold_s,
+        "log_kb": entry_bytes / 1024,
+        "snapshot_kb": len(image) / 1024,
+        "snapshot_ms": 1e3 * encode_s,
+        "load_ms": 1e3 * load_s,
+    }
+
+
+def measure_rules(organisations: int) -> Point:
+    """Measures one change of rules for so many organisations."""
+    rules = GOAL.make_rules(PolicyChoice())
+    document = type(rules)(
+        based_on=0,
+        organisations=rules.organisations[:organisations],
+        fleet=rules.fleet,
+    )
+    text = encode_rules(document).decode()
+    state = ClusterState()
+    record = RulesPublished(publication_id="p", document=text, author="a")
+    started_s = time.perf_counter()
+    state.fold(0, Batch("w", 0, (record,)))
+    fold_s = time.perf_counter() - started_s
+    planner = Planner("z0", now=time.monotonic)
+    for shape in GOAL.list_workers("z0"):
+        planner.add_worker(shape)
+    started_s = time.perf_counter()
+    planner.set_rules(state.rules)
+    apply_s = time.perf_counter() - started_s
+    return {
+        "document_kb": len(text) / 1024,
+        "fold_ms": 1e3 * fold_s,
+        "apply_ms": 1e3 * apply_s,
+    }
+
+
+SERIES: dict[str, tuple[list[int], Callable[[int], Point]]] = {
+    "workers": ([8, 32, 70, 138], lambda n: run_cluster(workers=n)),
+    "tasks": (
+        [0, 128, 256, 512],
+        lambda n: run_cluster(workers=70, tasks=n),
+    ),
+    "peers": (
+        [1, 3, 5, 7],
+        lambda n: run_cluster(workers=2, zones=n + 1),
+    ),
+    "organisations": ([45, 90, 135, 180], measure_rules),
+    "jobs": ([250, 500, 1_000, 2_000], measure_state),
+    "fleet": ([24, 138, 400, 1_100], lambda n: time_decisions(n, 1_000)),
+    "queue": (
+        [100, 1_000, 5_000, 20_000],
+        lambda n: time_decisions(138, n),
+    ),
+}
+
+
+def main() -> None:
+    """Runs the chosen series and prints points and fits."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--series", default=",".join(SERIES))
+    arguments = parser.parse_args()
+    results: dict[str, Any] = {}
+    for name in arguments.series.split(","):
+        sizes, measure = SERIES[name]
+        points = {size: measure(size) for size in sizes}
+        fits = {
+            key: fit_line(
+                [(size, point.get(key, 0.0)) for size, point in points.items()]
+            )
+            for key in points[sizes[-1]]
+        }
+        results[name] = {"points": points, "fits": fits}
+        _print_series(name, points, fits)
+    print(json.dumps(results))
+
+
+def _print_series(
+    name: str, points: dict[int, Point], fits: dict[str, Any]
+) -> None:
+    sizes = [str(size) for size in points]
+    table = Table(name, *sizes, "slope", "base", "residual", box=None)
+    for key, fit in fits.items():
+        cells = [f"{point.get(key, 0.0):.4g}" for point in points.values()]
+        fitted = [f"{fit[part]:.4g}" for part in ("slope", "base", "residual")]
+        table.add_row(key, *cells, *fitted)
+    Console(width=140).print(table)
+
+
+if __name__ == "__main__":
+    main()
--- a/standins/relay.py
+++ b/standins/relay.py
@@ -39,6 +39,7 @@
 
     port: int
     cut: bool = False
+    relayed_bytes: int = 0
     connections: list[Connection] = field(default_factory=list)
 
 
@@ -69,8 +70,13 @@
         return JSONResponse({"port": self._ports[key]})
 
     async def list_routes(self, request: Request) -> Response:
-        """Lists the routes."""
-        return JSONResponse([list(key) for key in self._routes])
+        """Lists the routes and the bytes that passed on each."""
+        return JSONResponse(
+            [
+                {"route": list(key), "bytes": route.relayed_bytes}
+                for key, route in self._routes.items()
+            ]
+        )
 
     async def set_faults(self, request: Request) -> Response:
         """Replaces all cuts, or freezes open connections."""
@@ -107,13 +113,14 @@
         connection = Connection([writer, far_writer])
         route.connections.append(connection)
         await asyncio.gather(
-            self._pump(connection, reader, far_writer),
-            self._pump(connection, far_reader, writer),
+            self._pump(route, connection, reader, far_writer),
+            self._pump(route, connection, far_reader, writer),
         )
         route.connections.remove(connection)
 
     async def _pump(
         self,
+        route: RelayRoute,
         connection: Connection,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
@@ -122,6 +129,7 @@
             while chunk := await reader.read(_CHUNK_BYTES):
                 if connection.frozen:
                     continue
+                route.relayed_bytes += len(chunk)
                 writer.write(chunk)
                 await writer.drain()
         if not connection.frozen:
