Promises as scenarios over real processes, and what they found

Cause: tests/features/promises.feature failed in four of ten scenarios. (1) With the log down no copy could be kept: the second instance of the zone refused a copy because it is not the active one, so a zone cut off refused idempotent work. (2) A draining scheduler closed its clients before its tasks had ended, and ended with a RuntimeError. (3) An uncertain append of idempotent work was an error instead of an acceptance by a peer. (4) A gang with rack adjacency that needs its organisation's guarantee and more never ran.

Ruled out for (4): load (it waited on in an idle zone) and takeovers.

Change: copies are marked as such; tasks end before connections close; an idempotent job goes to a peer when the log is uncertain; rack gangs may mix. An entry that drains lets open requests wait for their answers until its drain time, and a draining scheduler passes waiting calls on.

Tests: the scenarios; a property that every job not refused at the door starts in an idle zone (red before).

--- a/harness/callers.py
+++ b/harness/callers.py
@@ -133,6 +133,9 @@
                 },
                 json=request.body,
             )
+        except httpx.ConnectError:
+            request.ran = request.ran or "retry"
+            return 0.3
         except httpx.HTTPError:
             request.ran = "unknown"
             return 0.3
--- a/lagoonbeam/commands/entry.py
+++ b/lagoonbeam/commands/entry.py
@@ -21,6 +21,8 @@
 
 DRAIN_NOTICE_S = 0.5
 """Time for the balancer to see that the instance is leaving."""
+DRAIN_MARGIN_S = 1.0
+"""Time left to send the last answers."""
 
 program = typer.Typer(add_completion=False, pretty_exceptions_enable=False)
 
@@ -71,7 +73,7 @@
     ended = anyio.Event()
 
     async def drain() -> None:
-        entry.draining = True
+        entry.drain(within_s=settings.drain_s - DRAIN_MARGIN_S)
         events.emit("entry.draining")
         await anyio.sleep(DRAIN_NOTICE_S)
         ended.set()
--- a/lagoonbeam/core/messages.capnp
+++ b/lagoonbeam/core/messages.capnp
@@ -69,7 +69,7 @@
 }
 
 struct SubmitJob { job @0 :Job; }
-struct EnqueueJob { job @0 :Job; durability @1 :Text; }
+struct EnqueueJob { job @0 :Job; isCopy @1 :Bool; }
 struct WaitJob { jobId @0 :Text; waitS @1 :Float64; }
 struct CancelJob { jobId @0 :Text; }
 struct ListJobs { organisation @0 :Text; limit @1 :UInt32; }
--- a/lagoonbeam/core/messages.py
+++ b/lagoonbeam/core/messages.py
@@ -92,10 +92,15 @@
 
 @dataclass(frozen=True)
 class EnqueueJob:
-    """An accepted job, to the active scheduler of its zone."""
+    """A job that the log does not have yet.
+
+    Attributes:
+        job: The job.
+        is_copy: Whether to keep it only, rather than to schedule it.
+    """
 
     job: Job
-    durability: str = "log"
+    is_copy: bool = False
 
 
 @dataclass(frozen=True)
--- a/lagoonbeam/entry/application.py
+++ b/lagoonbeam/entry/application.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import itertools
+import math
 import time
 from collections.abc import Awaitable, Callable
 from typing import Any
@@ -82,14 +83,18 @@
         events: EventLog,
         metrics: Metrics,
     ):
-        self.draining = False
         self.open_requests = 0
+        self._drain_until_s = math.inf
         self._settings = settings
         self._backend = backend
         self._events = events
         self._metrics = metrics
         self._access = Access(settings.tokens)
 
+    def drain(self, *, within_s: float) -> None:
+        """Lets open requests wait no longer than that for their answers."""
+        self._drain_until_s = time.monotonic() + within_s
+
     def build(self) -> Starlette:
         """Returns the ASGI application."""
         routes: list[tuple[str, str, Handler]] = [
@@ -209,8 +214,9 @@
     async def _wait(self, status: JobStatus, wait_s: float) -> JobStatus:
         """Waits for a job's outcome, whichever scheduler tells it."""
         deadline_s = time.monotonic() + wait_s
-        while not status.outcome and not self.draining:
-            left_s = deadline_s - time.monotonic()
+        while not status.outcome:
+            last_s = min(deadline_s, self._drain_until_s)
+            left_s = last_s - time.monotonic()
             if left_s <= 0:
                 break
             slice_s = min(left_s, WAIT_SLICE_S)
@@ -290,7 +296,7 @@
     async def _get_ready(self, request: Request) -> Response:
         """Tells the platform's balancer whether to send requests here."""
         try:
-            if self.draining:
+            if self._drain_until_s < math.inf:
                 raise NotReadyError("the instance is leaving")
             await self._backend.call_first(GetRules(), timeout_s=CALL_TIMEOUT_S)
         except LagoonbeamError as error:
--- a/lagoonbeam/log/http.py
+++ b/lagoonbeam/log/http.py
@@ -11,7 +11,7 @@
 from lagoonbeam.log.base import LOGS, LogPage, LogStore
 from lagoonbeam.types import Offset
 
-_TIMEOUT_S = 2.0
+_TIMEOUT_S = 1.0
 """Deadline of one request, beside the wait it asks for."""
 
 
--- a/lagoonbeam/placement/cells.py
+++ b/lagoonbeam/placement/cells.py
@@ -80,6 +80,7 @@
     planned: PlannedJob,
     slots: int,
     members: int,
+    rack: int | None = None,
 ) -> list[Cell] | None:
     """Finds cells in one rack if possible, else in as few as possible.
 
@@ -89,10 +90,14 @@
         planned: The job.
         slots: Size of each cell.
         members: How many.
+        rack: The rack that all must be in, if there is one.
 
     Returns:
         The cells, or None if there are too few.
     """
+    if rack is not None:
+        cells = _take_from_rack(pool, space, rack, planned, slots)
+        return cells[:members] if len(cells) >= members else None
     by_room = sorted(
         (space.count_free_in_rack(rack), rack) for rack in pool.racks.values()
     )
@@ -151,8 +156,9 @@
             return self._complete(pool, planned, slots, chosen)
         for rack in pool.racks.values():
             chosen = chooser.choose(slots, shape.members, rack)
-            if len(chosen) == shape.members:
-                return self._complete(pool, planned, slots, chosen)
+            placement = self._complete(pool, planned, slots, chosen, rack)
+            if placement is not None:
+                return placement
         return None
 
     def _complete(
@@ -161,6 +167,7 @@
         planned: PlannedJob,
         slots: int,
         chosen: list[tuple[Cell, Cell]],
+        rack: int | None = None,
     ) -> Placement | None:
         """Adds free cells for the members that the guarantee cannot hold."""
         missing = planned.job.shape.members - len(chosen)
@@ -175,7 +182,7 @@
             space = _exclude(pool, [*cells, *(o for _, o in chosen)])
             if not stoppable:
                 space = _intersect(pool.book, space)
-            rest = find_cells(pool, space, planned, slots, missing)
+            rest = find_cells(pool, space, planned, slots, missing, rack)
             if rest is None:
                 return None
             cells += rest
--- a/lagoonbeam/scheduler/intake.py
+++ b/lagoonbeam/scheduler/intake.py
@@ -92,7 +92,7 @@
         if self._journal.log_up:
             try:
                 return await self._accept_in_log(job)
-            except LogUnavailableError:
+            except (LogUnavailableError, LogUncertainError):
                 if not job.idempotent:
                     raise
         elif not job.idempotent:
@@ -233,7 +233,7 @@
                     f"no active scheduler of zone {job.availability_zone!r}",
                     retry_after_s=2.0,
                 )
-            await self._give(active.instance, job)
+            await self._give(active.instance, EnqueueJob(job))
         self.keep(job)
         self._events.emit("job.accepted_with_peer", job=job.job_id)
         return JobStatus(
@@ -247,7 +247,8 @@
     async def _give_to_any(self, job: Job) -> None:
         for heartbeat in list(self._peers.iterate_fresh()):
             try:
-                await self._give(heartbeat.instance, job)
+                copy = EnqueueJob(job, is_copy=True)
+                await self._give(heartbeat.instance, copy)
                 return
             except LagoonbeamError:
                 continue
@@ -255,10 +256,10 @@
             "the log is down and no peer took a copy", retry_after_s=2.0
         )
 
-    async def _give(self, instance: InstanceName, job: Job) -> None:
+    async def _give(self, instance: InstanceName, message: EnqueueJob) -> None:
         try:
             await self._peers.call(
-                instance, EnqueueJob(job, "peer"), timeout_s=REPLICA_TIMEOUT_S
+                instance, message, timeout_s=REPLICA_TIMEOUT_S
             )
         except LinkError as error:
             raise NoReplicaError(
--- a/lagoonbeam/scheduler/node.py
+++ b/lagoonbeam/scheduler/node.py
@@ -125,15 +125,20 @@
 
     @asynccontextmanager
     async def running(self) -> AsyncIterator[SchedulerNode]:
-        """Starts the node, and closes it at the end of the block."""
-        async with anyio.create_task_group() as tasks:
-            await self.start(tasks)
-            try:
-                yield self
-            finally:
-                with anyio.CancelScope(shield=True):
-                    await self.close()
-                tasks.cancel_scope.cancel()
+        """Starts the node, and closes it at the end of the block.
+
+        Its tasks end before the connections that they use are closed.
+        """
+        try:
+            async with anyio.create_task_group() as tasks:
+                await self.start(tasks)
+                try:
+                    yield self
+                finally:
+                    tasks.cancel_scope.cancel()
+        finally:
+            with anyio.CancelScope(shield=True):
+                await self.close()
 
     async def start(self, tasks: anyio.abc.TaskGroup) -> None:
         """Starts all parts."""
@@ -157,8 +162,6 @@
 
     async def close(self) -> None:
         """Closes all parts."""
-        if self.zone is not None:
-            self.zone.stop()
         await self.peers.close()
         await self.catalog.close()
         await self.journal.close()
@@ -197,7 +200,7 @@
         return await self.intake.submit(job)
 
     def enqueue(self, job: Job, provisional: bool) -> None:
-        """Takes a job for this zone, or a copy of one for safe keeping."""
+        """Takes a job for this zone."""
         if provisional:
             self.intake.keep(job)
         if job.availability_zone != self.settings.availability_zone:
@@ -210,6 +213,7 @@
 
         Raises:
             UnknownJobError: If no such job is known.
+            DrainingError: If this instance leaves before the job is finished.
         """
         with anyio.move_on_after(wait_s):
             while not self.draining:
@@ -218,6 +222,8 @@
                     break
                 await self.journal.wait_changed()
         status = self.describe(job_id)
+        if self.draining and wait_s and not (status and status.outcome):
+            raise DrainingError("this instance is leaving", retry_after_s=0.1)
         if status is None:
             raise UnknownJobError(f"got job {job_id!r}, which is not known")
         return status
--- a/lagoonbeam/scheduler/service.py
+++ b/lagoonbeam/scheduler/service.py
@@ -75,9 +75,11 @@
 
 @answer_message.register(EnqueueJob)
 async def _(message: EnqueueJob, node: SchedulerNode) -> Message:
-    if message.job.availability_zone == node.settings.availability_zone:
+    if message.is_copy:
+        node.intake.keep(message.job)
+    else:
         node.require_zone()
-    node.enqueue(message.job, message.durability == "peer")
+        node.enqueue(message.job, True)
     return Acknowledgement()
 
 
--- a/properties/test_planner.py
+++ b/properties/test_planner.py
@@ -22,6 +22,7 @@
     Organisation,
     RulesDocument,
 )
+from lagoonbeam.errors import ImpossibleShapeError
 
 ORGANISATIONS = ("a", "b", "c")
 
@@ -207,3 +208,33 @@
         driver = Driver(seed)
         for _ in range(150):
             driver.step()
+
+    @settings(max_examples=300, deadline=None)
+    @given(st.integers(0, 1 << 32))
+    def test_possible_job_starts_when_all_is_idle(self, seed: int) -> None:
+        """What is not refused at the door can run."""
+        driver = Driver(seed)
+        rng = driver.rng
+        job = Job(
+            "j",
+            rng.choice(ORGANISATIONS),
+            "x",
+            "k",
+            shape=GangShape(
+                rng.randrange(1, 49),
+                rng.choice([1, 2, 3, 4, 8]),
+                adjacency=rng.choice(["none", "rack", "worker"]),
+            ),
+            idempotent=rng.random() < 0.5,
+        )
+        try:
+            driver.planner.check_possible(job)
+        except ImpossibleShapeError:
+            return
+        driver.planner.submit(job)
+        for _ in range(5):
+            decisions = driver.planner.decide()
+            if decisions:
+                break
+            driver.now_s += 100.0
+        assert isinstance(decisions[0], Start)
