No queued job is forgotten, and impossible ones are refused at the door

Cause: a rolling replacement left one job queued for good in an idle zone: 16 members, part of them on a guarantee. A guaranteed placement that had failed was tried again only when its own organisation freed cells, though a mixed gang needs free cells of anybody.

--- a/lagoonbeam/core/cells.py
+++ b/lagoonbeam/core/cells.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+from collections import defaultdict
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
 
@@ -98,6 +99,7 @@
 
     def __init__(self) -> None:
         self._blocks: list[dict[int, None]] = [{} for _ in range(LEVELS)]
+        self._by_rack: dict[int, dict[int, int]] = defaultdict(dict)
         self._free_by_worker: dict[int, int] = {}
         self._free_by_rack: dict[int, int] = {}
         self.free_slots = 0
@@ -166,6 +168,16 @@
             for start in blocks:
                 yield Cell(start, 1 << level)
 
+    def iterate_rack(self, rack_index: int, slots: int) -> Iterator[Cell]:
+        """Yields the free cells of one size in a rack, in order."""
+        level = get_level(slots)
+        for start, size in sorted(self._by_rack[rack_index].items()):
+            if size >= level:
+                end = start + (1 << size)
+                yield from (
+                    Cell(first, slots) for first in range(start, end, slots)
+                )
+
     def find_block(self, cell: Cell) -> Cell | None:
         """Returns the maximal free block that contains a cell, or None."""
         for level in range(get_level(cell.slots), LEVELS):
@@ -188,16 +200,16 @@
         if block is None:
             raise CellError(f"{cell} is not free")
         level = get_level(block.slots)
-        del self._blocks[level][block.start]
+        self._remove(level, block.start)
         start = block.start
         while level > get_level(cell.slots):
             level -= 1
             half = start + (1 << level)
             if cell.start >= half:
-                self._blocks[level][start] = None
+                self._add(level, start)
                 start = half
             else:
-                self._blocks[level][half] = None
+                self._add(level, half)
         self._count(cell, -1)
 
     def release(self, cell: Cell) -> None:
@@ -212,10 +224,10 @@
         while (
             level < LEVELS - 1 and start ^ (1 << level) in self._blocks[level]
         ):
-            del self._blocks[level][start ^ (1 << level)]
+            self._remove(level, start ^ (1 << level))
             start &= ~(1 << level)
             level += 1
-        self._blocks[level][start] = None
+        self._add(level, start)
         self._count(cell, 1)
 
     def take_all(self, cells: Iterable[Cell]) -> None:
@@ -228,6 +240,14 @@
         for cell in cells:
             self.release(cell)
 
+    def _add(self, level: int, start: int) -> None:
+        self._blocks[level][start] = None
+        self._by_rack[start // RACK_SPAN][start] = level
+
+    def _remove(self, level: int, start: int) -> None:
+        del self._blocks[level][start]
+        del self._by_rack[start // RACK_SPAN][start]
+
     def _count(self, cell: Cell, sign: int) -> None:
         self.free_slots += sign * cell.slots
         rack = cell.rack_index
--- a/lagoonbeam/core/guarantees.py
+++ b/lagoonbeam/core/guarantees.py
@@ -96,15 +96,6 @@
         """Returns whether the organisation has any guarantee here."""
         return any(self._promised.get(organisation, ()))
 
-    def count_promised_to_others(self, organisation: OrganisationName) -> int:
-        """Returns the slots that other organisations are guaranteed."""
-        return sum(
-            count << level
-            for name, counts in self._promised.items()
-            if name != organisation
-            for level, count in enumerate(counts)
-        )
-
     def list_bound(self, organisation: OrganisationName) -> list[BoundCell]:
         """Returns the organisation's cells in use that it keeps."""
         cells = self._bound.get(organisation, {}).values()
--- a/lagoonbeam/core/planner.py
+++ b/lagoonbeam/core/planner.py
@@ -111,6 +111,7 @@
         self._promised: dict[JobId, None] = {}
         self._displaced: list[PlannedJob] = []
         self._nudged: dict[JobId, JobId] = {}
+        self._unreservable: set[JobId] = set()
         self._guards: dict[OrganisationName, JobId] = {}
         self._due: list[tuple[float, OrganisationName]] = []
         self._ready: list[Decision] = []
@@ -195,13 +196,14 @@
             if any(counts):
                 promised[organisation.name] = counts
         self.get_pool(accelerated=True).book.set_promises(promised)
+        self._unreservable.clear()
         if rules:
             self._urgent_fraction = rules.urgent_lent_fraction
             self._set_policies(rules.policies)
         self._ordering.set_rules(rules, set(promised))
 
     def check_possible(self, job: Job) -> None:
-        """Checks that the zone's workers could ever hold a gang.
+        """Checks that the workers of an idle zone could hold a gang.
 
         Raises:
             ImpossibleShapeError: If they could not, even when empty.
@@ -213,7 +215,8 @@
         ]
         if len(faults) == len(self.pools):
             raise ImpossibleShapeError(f"zone {self.zone!r}: {faults[0]}")
-        self._check_unstoppable(job)
+        if not job.stoppable:
+            self._check_claims(job)
 
     def submit(self, job: Job, *, queued_at_s: float | None = None) -> None:
         """Queues a job; one that is known already is ignored."""
@@ -420,25 +423,31 @@
             f" {shape.adjacency!r}, expected at most {room} members"
         )
 
-    def _check_unstoppable(self, job: Job) -> None:
+    def _check_claims(self, job: Job) -> None:
         """Checks that work that cannot be stopped has cells to run on.
 
         Raises:
-            ImpossibleShapeError: If others are guaranteed too many.
+            ImpossibleShapeError: If the guarantees leave too few.
         """
-        if job.stoppable:
-            return
-        rooms = []
+        planned = PlannedJob(job, self._now())
         for pool in self._list_pools(job):
-            others = pool.book.count_promised_to_others(job.organisation)
-            slots = round_up(pool.count_member_slots(job.shape))
-            rooms.append(pool.total_slots - others)
-            if slots * job.shape.members <= rooms[-1]:
+            for placement in (
+                self._reach(pool, planned, Reach.IDLE),
+                self._placement.place_free(pool, planned, pool.free),
+            ):
+                if placement is None:
+                    continue
+                try:
+                    self._take_claims(pool, planned, placement)
+                except InvariantError:
+                    continue
+                self._release_claims(pool, planned, placement)
                 return
         raise ImpossibleShapeError(
             f"zone {self.zone!r}: a job that can be neither stopped nor"
-            f" repeated may use the {max(rooms)} slots that no other"
-            " organisation is guaranteed; it needs more"
+            " repeated may use its organisation's guarantee and slots that no"
+            f" organisation is guaranteed; {job.shape.members} members do not"
+            " fit there"
         )
 
     def _enqueue(self, planned: PlannedJob) -> None:
@@ -476,7 +485,7 @@
             waiter = self.jobs.get(waiter_id)
             if waiter is not None and waiter.placement is not None:
                 self._move_in(pool, waiter, job_id)
-        self._ordering.reopen(planned.job.organisation)
+        self._ordering.reopen(None)
 
     def _move_in(self, pool: Pool, waiter: PlannedJob, left: JobId) -> None:
         assert waiter.placement is not None
@@ -573,6 +582,7 @@
             self._take_claims(pool, planned, placement)
         except InvariantError:
             self.counters.refused_claims += 1
+            self._unreservable.add(planned.job.job_id)
             return
         self._commit(pool, planned, placement)
         self._ordering.take(planned)
@@ -923,6 +933,7 @@
                 planned
                 for planned in self._blocked.values()
                 if planned.queued_at_s <= oldest_s
+                and planned.job.job_id not in self._unreservable
             ),
             key=self._ordering.rate,
             default=None,
--- a/lagoonbeam/placement/cells.py
+++ b/lagoonbeam/placement/cells.py
@@ -6,7 +6,6 @@
 from itertools import islice
 
 from lagoonbeam.core.cells import (
-    RACK_SPAN,
     WORKER_SPAN,
     Cell,
     CellSpace,
@@ -33,19 +32,6 @@
     return [Cell(cell.start + slots * part, slots) for part in range(count)]
 
 
-def iterate_rack(space: CellSpace, rack: int, slots: int) -> Iterator[Cell]:
-    """Yields the free cells of one size in a rack, in order."""
-    first = rack * RACK_SPAN
-    return (
-        cell
-        for cell in (
-            Cell(start, slots)
-            for start in range(first, first + RACK_SPAN, slots)
-        )
-        if space.is_free(cell)
-    )
-
-
 def find_gang(
     pool: Pool, space: CellSpace, planned: PlannedJob, slots: int
 ) -> list[Cell] | None:
@@ -122,7 +108,7 @@
 ) -> list[Cell]:
     """Returns a rack's cells, fullest workers first."""
     cells = exclude_workers(
-        pool, iterate_rack(space, rack, slots), planned.excluded_workers
+        pool, space.iterate_rack(rack, slots), planned.excluded_workers
     )
     return sorted(cells, key=lambda cell: space.count_free(cell.worker_index))
 
--- a/lagoonbeam/placement/first_fit.py
+++ b/lagoonbeam/placement/first_fit.py
@@ -19,7 +19,7 @@
     Reach,
     exclude_workers,
 )
-from lagoonbeam.placement.cells import iterate_rack, split_cell
+from lagoonbeam.placement.cells import split_cell
 from lagoonbeam.preemption.base import PreemptionPolicy
 
 
@@ -60,7 +60,7 @@
                 found = []
             cells = exclude_workers(
                 pool,
-                iterate_rack(space, rack, wanted),
+                space.iterate_rack(rack, wanted),
                 planned.excluded_workers,
             )
             found += islice(cells, members - len(found))
