--- a/Makefile
+++ b/Makefile
@@ -36,3 +36,6 @@
 
 slopes: setup
 	$(BIN)/python -m benchmarks.slopes
+
+mutations: setup
+	$(BIN)/python -m harness.mutations
--- a/lagoonbeam/commands/scheduler.py
+++ b/lagoonbeam/commands/scheduler.py
@@ -9,6 +9,7 @@
 import typer
 
 from lagoonbeam.commands.running import read_settings, watch_signals
+from lagoonbeam.core.imports import hide_module
 from lagoonbeam.core.logs import configure_logging
 from lagoonbeam.core.settings import SchedulerSettings
 
@@ -42,7 +43,8 @@
 
 
 async def _run(settings: SchedulerSettings) -> None:
-    from lagoonbeam.scheduler.node import SchedulerNode
+    with hide_module("click"):
+        from lagoonbeam.scheduler.node import SchedulerNode
 
     node = SchedulerNode(settings)
     async with node.running():
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -58,13 +58,14 @@
         self.entries: list[bytes] = []
         self.oldest = 0
         self.down = False
+        self.refuses_appends = False
         self.lose_answers = 0
         self.appends = 0
 
     async def append(self, data: bytes) -> int:
         self.appends += 1
         await anyio.sleep(0)
-        if self.down:
+        if self.down or self.refuses_appends:
             raise LogUnavailableError("down")
         self.entries.append(data)
         if self.lose_answers:
