--- a/lagoonbeam/core/planner.py
+++ b/lagoonbeam/core/planner.py
@@ -9,21 +9,24 @@
 
 import collections
 import heapq
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass
 
-from lagoonbeam.core.cells import LEVELS, WORKER_SPAN, Cell, get_level, round_up
+from lagoonbeam.core.capacity import find_fault
+from lagoonbeam.core.cells import LEVELS, Cell, get_level
+from lagoonbeam.core.claims import adopt_claims, release_claims, take_claims
 from lagoonbeam.core.estimates import RunTimeEstimator
 from lagoonbeam.core.jobs import Job
 from lagoonbeam.core.planned import (
     Placement,
     PlannedJob,
-    ShapeKey,
     Standing,
 )
 from lagoonbeam.core.pool import Pool, WorkerHealth, WorkerShape
-from lagoonbeam.core.reservation import Reservation, plan_reservation
+from lagoonbeam.core.reservation import Reservations
 from lagoonbeam.core.rules import PolicyChoice, RulesDocument
+from lagoonbeam.core.urgency import UrgentShare
+from lagoonbeam.core.victims import find_own_victim, place_over_lent
 from lagoonbeam.errors import (
     CellError,
     ImpossibleShapeError,
@@ -34,10 +37,6 @@
 from lagoonbeam.preemption import PREEMPTIONS, PreemptionPolicy
 from lagoonbeam.types import JobId, OrganisationName, WorkerName, ZoneName
 
-RESERVE_AFTER_S = 1.0
-"""Wait after which a gang that does not fit gets a reservation."""
-REPLAN_AFTER_S = 30.0
-"""Age at which a reservation is planned anew."""
 GUARD_AFTER_S = 60.0
 """Wait after which a job keeps its organisation's guarantee for itself."""
 RECLAIM_AFTER_S = {"urgent": 0.0, "normal": 30.0, "batch": 120.0}
@@ -102,21 +101,17 @@
         self.last_run_s = 0.0
         self._now = now
         self._policies = policies or PolicyChoice()
-        self._urgent_fraction = 0.1
-        self._urgent_by_organisation: collections.Counter[OrganisationName] = (
-            collections.Counter()
-        )
+        self._urgent = UrgentShare()
         self._waiting: dict[JobId, PlannedJob] = {}
-        self._blocked: dict[ShapeKey, PlannedJob] = {}
         self._promised: dict[JobId, None] = {}
         self._displaced: list[PlannedJob] = []
         self._nudged: dict[JobId, JobId] = {}
-        self._unreservable: set[JobId] = set()
         self._guards: dict[OrganisationName, JobId] = {}
+        self._deadlines: list[tuple[float, JobId]] = []
         self._due: list[tuple[float, OrganisationName]] = []
         self._ready: list[Decision] = []
         self._victims: dict[JobId, set[JobId]] = collections.defaultdict(set)
-        self._reservation: Reservation | None = None
+        self._reservations = Reservations()
         self._ordering: OrderingPolicy = ORDERINGS.get(
             self._policies.ordering
         )()
@@ -164,6 +159,7 @@
     def add_worker(self, shape: WorkerShape) -> None:
         """Adds a worker, healthy and empty."""
         self.get_pool(accelerated=shape.accelerators > 0).add_worker(shape)
+        self._urgent.total_slots = self.total_slots
         self._ordering.reopen(None)
 
     def has_worker(self, worker: WorkerName) -> bool:
@@ -196,9 +192,9 @@
             if any(counts):
                 promised[organisation.name] = counts
         self.get_pool(accelerated=True).book.set_promises(promised)
-        self._unreservable.clear()
+        self._reservations.forget_refusals()
         if rules:
-            self._urgent_fraction = rules.urgent_lent_fraction
+            self._urgent.fraction = rules.urgent_lent_fraction
             self._set_policies(rules.policies)
         self._ordering.set_rules(rules, set(promised))
 
@@ -211,7 +207,7 @@
         faults = [
             fault
             for pool in self.pools
-            if (fault := self._find_fault(pool, job))
+            if (fault := find_fault(pool, job.shape))
         ]
         if len(faults) == len(self.pools):
             raise ImpossibleShapeError(f"zone {self.zone!r}: {faults[0]}")
@@ -226,6 +222,9 @@
             job, self._now() if queued_at_s is None else queued_at_s
         )
         self.jobs[job.job_id] = planned
+        if job.start_within_s:
+            due_s = planned.queued_at_s + job.start_within_s
+            heapq.heappush(self._deadlines, (due_s, job.job_id))
         self._enqueue(planned)
 
     def adopt(self, job: Job, placement: Placement) -> PlannedJob:
@@ -245,7 +244,7 @@
             for cell in placement.cells:
                 pool.occupy(cell, job.job_id)
                 taken.append(cell)
-            planned.placement = self._adopt_claims(pool, planned, placement)
+            planned.placement = adopt_claims(pool, job, placement)
         except CellError:
             for cell in taken:
                 pool.vacate(cell, job.job_id)
@@ -253,7 +252,7 @@
         planned.estimated_run_s = self.estimator.estimate(job)
         planned.started_at_s = self._now()
         self.jobs[job.job_id] = planned
-        self._count_urgent(planned, 1)
+        self._urgent.count(planned, 1)
         return planned
 
     def cancel(self, job_id: JobId) -> bool:
@@ -268,7 +267,7 @@
         self._dequeue(planned)
         self._ordering.discard(planned)
         del self.jobs[job_id]
-        self._drop_reservation(job_id)
+        self._reservations.drop_for(job_id)
         return True
 
     def started(self, job_id: JobId) -> None:
@@ -305,6 +304,7 @@
         """
         self._reopen_due()
         self._start_reserved()
+        self._ordering.urgent_first = self._urgent.is_open
         for candidate in self._ordering.iterate():
             self.counters.attempts += 1
             if self._try_place(candidate):
@@ -312,7 +312,8 @@
                 self._check_guarantees()
             else:
                 self._ordering.skip(candidate)
-                self._note_blocked(candidate)
+                if candidate.route is Route.FREE:
+                    self._reservations.note_blocked(candidate.planned)
         if self._ordering.reserves:
             self._reserve()
         for planned in self._displaced:
@@ -323,16 +324,13 @@
 
     def expire(self) -> list[PlannedJob]:
         """Takes out jobs that never started within their deadline."""
-        now_s = self._now()
-        late = [
-            planned
-            for planned in self._waiting.values()
-            if planned.job.start_within_s
-            and not planned.started_at_s
-            and now_s > planned.queued_at_s + planned.job.start_within_s
-        ]
-        for planned in late:
-            self.cancel(planned.job.job_id)
+        late = []
+        while self._deadlines and self._deadlines[0][0] < self._now():
+            _, job_id = heapq.heappop(self._deadlines)
+            planned = self._waiting.get(job_id)
+            if planned is not None and not planned.started_at_s:
+                late.append(planned)
+                self.cancel(job_id)
         return late
 
     def estimate_wait_s(self) -> float:
@@ -351,8 +349,8 @@
             self._victims[victim].discard(job_id)
         for cell in placement.cells:
             pool.withdraw(cell, job_id)
-        self._release_claims(pool, planned, placement)
-        self._count_urgent(planned, -1)
+        release_claims(pool, planned.job.organisation, placement)
+        self._urgent.count(planned, -1)
         planned.placement = None
         planned.waits_for.clear()
         self._promised.pop(job_id, None)
@@ -383,46 +381,6 @@
             return [accelerated]
         return [plain, accelerated]
 
-    def _find_fault(self, pool: Pool, job: Job) -> str:
-        """Returns why a pool could never hold a gang, or an empty text."""
-        shape = job.shape
-        if shape.accelerators and not pool.accelerated:
-            return "it has no accelerators"
-        if not pool.total_slots:
-            return "it has no workers"
-        exact = pool.count_member_slots(shape)
-        slots = round_up(exact)
-        if exact > WORKER_SPAN:
-            return (
-                f"a member needs {exact} slots (accelerators, cores and"
-                f" memory), expected at most {WORKER_SPAN}"
-            )
-        workers = [
-            min(each.shape.slots, each.shape.accelerators or each.shape.slots)
-            for each in pool.workers.values()
-        ]
-        if shape.adjacency == "worker" and shape.members > 1:
-            room = max(int(max(workers) >= round_up(slots * shape.members)), 0)
-            members = 1
-        elif shape.adjacency == "rack":
-            per_rack: collections.Counter[str] = collections.Counter()
-            for each in pool.workers.values():
-                usable = min(
-                    each.shape.slots,
-                    each.shape.accelerators or each.shape.slots,
-                )
-                per_rack[each.shape.rack] += usable // slots
-            room, members = max(per_rack.values()), shape.members
-        else:
-            room = sum(each // slots for each in workers)
-            members = shape.members
-        if room >= members:
-            return ""
-        return (
-            f"{shape.members} members of {slots} slots with adjacency"
-            f" {shape.adjacency!r}, expected at most {room} members"
-        )
-
     def _check_claims(self, job: Job) -> None:
         """Checks that work that cannot be stopped has cells to run on.
 
@@ -438,10 +396,10 @@
                 if placement is None:
                     continue
                 try:
-                    self._take_claims(pool, planned, placement)
+                    take_claims(pool, planned.job.organisation, placement)
                 except InvariantError:
                     continue
-                self._release_claims(pool, planned, placement)
+                release_claims(pool, planned.job.organisation, placement)
                 return
         raise ImpossibleShapeError(
             f"zone {self.zone!r}: a job that can be neither stopped nor"
@@ -478,8 +436,8 @@
         self._ordering.settle(planned, run_s if planned.started_at_s else 0.0)
         for cell in placement.cells:
             pool.vacate(cell, job_id)
-        self._release_claims(pool, planned, placement)
-        self._count_urgent(planned, -1)
+        release_claims(pool, planned.job.organisation, placement)
+        self._urgent.count(planned, -1)
         planned.placement = None
         for waiter_id in self._victims.pop(job_id, ()):
             waiter = self.jobs.get(waiter_id)
@@ -496,26 +454,6 @@
             del self._promised[waiter.job.job_id]
             self._ready.append(Start(waiter, waiter.placement))
 
-    def _release_claims(
-        self, pool: Pool, planned: PlannedJob, placement: Placement
-    ) -> None:
-        name = planned.job.organisation
-        for cell, owner in placement.members:
-            if owner is not None:
-                self._release_bound(pool, name, cell, owner)
-            elif placement.standing is Standing.EXCLUSIVE:
-                pool.book.release(cell)
-                pool.claim_released(cell)
-
-    def _release_bound(
-        self, pool: Pool, name: OrganisationName, cell: Cell, owner: Cell
-    ) -> None:
-        bound = pool.book.get_bound(name, owner)
-        bound.room.release(cell)
-        if bound.is_idle:
-            pool.book.unbind(bound)
-            pool.claim_released(owner)
-
     def _try_place(self, candidate: Candidate) -> bool:
         planned = candidate.planned
         for pool in self._list_pools(planned.job):
@@ -526,7 +464,7 @@
             if placement is None or self._would_loop(pool, placement):
                 continue
             try:
-                self._take_claims(pool, planned, placement)
+                take_claims(pool, planned.job.organisation, placement)
             except InvariantError:
                 self.counters.refused_claims += 1
                 continue
@@ -565,7 +503,7 @@
 
     def _start_reserved(self) -> None:
         """Places the gang of the reservation once all its cells are free."""
-        reservation = self._reservation
+        reservation = self._reservations.current
         if reservation is None:
             return
         pool, planned = reservation.pool, reservation.planned
@@ -577,12 +515,12 @@
             reservation.cells,
             Standing.LENT if stoppable else Standing.EXCLUSIVE,
         )
-        self._drop_reservation(planned.job.job_id)
+        self._reservations.drop_for(planned.job.job_id)
         try:
-            self._take_claims(pool, planned, placement)
+            take_claims(pool, planned.job.organisation, placement)
         except InvariantError:
             self.counters.refused_claims += 1
-            self._unreservable.add(planned.job.job_id)
+            self._reservations.refuse(planned)
             return
         self._commit(pool, planned, placement)
         self._ordering.take(planned)
@@ -680,31 +618,14 @@
         """
         if self._nudged.get(planned.job.job_id) in self.jobs:
             return
-        slots = round_up(pool.count_member_slots(planned.job.shape))
-        victims = (
-            other
-            for other in self.jobs.values()
-            if other.job.organisation == planned.job.organisation
-            and other.rank > planned.rank
-            and other.job.stoppable
-            and not other.stopping
-            and other.started_at_s
-            and other.placement is not None
-            and other.placement.standing is Standing.GUARANTEED
-            and other.placement.slots >= slots * planned.job.shape.members
-        )
-        victim = min(
-            victims,
-            key=lambda each: self._preemption.weigh([each.job.job_id]),
-            default=None,
-        )
-        if victim is None or not self._preemption.allows_nudges:
-            return
-        self._nudged[planned.job.job_id] = victim.job.job_id
-        self._stop(victim, "own urgent work")
+        running = self._iterate_running()
+        victim = find_own_victim(pool, planned, running, self._preemption)
+        if victim is not None:
+            self._nudged[planned.job.job_id] = victim.job.job_id
+            self._stop(victim, "own urgent work")
 
     def _place_free(self, pool: Pool, planned: PlannedJob) -> Placement | None:
-        reservation = self._reservation
+        reservation = self._reservations.current
         placement = self._placement.place_free(pool, planned, pool.free)
         if placement is None and reservation and reservation.pool is pool:
             end_s = self._now() + planned.estimated_run_s
@@ -716,90 +637,32 @@
         self, pool: Pool, planned: PlannedJob
     ) -> Placement | None:
         """Places urgent work over lent work, within the share it may have."""
-        if not planned.key.urgent or not self._has_urgent_share(planned):
+        if not planned.key.urgent or not self._urgent.has_room(planned):
             return None
-        return self._place_over_lent(pool, planned)
-
-    def _place_over_lent(
-        self, pool: Pool, planned: PlannedJob
-    ) -> Placement | None:
-        """Places urgent work over lent work that is less urgent."""
-        shape = planned.job.shape
-        slots = round_up(pool.count_member_slots(shape))
-        if shape.members > 1 or slots > WORKER_SPAN:
-            return None
-        candidates = (
-            (other, cell)
-            for other in self.jobs.values()
-            if other.placement is not None
-            and other.placement.accelerated == pool.accelerated
-            and not other.stopping
-            and other.started_at_s
-            and self._preemption.may_preempt(planned, other.job.job_id)
-            for cell in other.placement.cells
-            if cell.slots >= slots
-        )
-        usable = (
-            (other, Cell(cell.start, slots))
-            for other, cell in candidates
-            if not pool.is_closed(cell)
-            and (
-                planned.job.stoppable
-                or pool.book.unclaimed.is_free(Cell(cell.start, slots))
-            )
-        )
-        best = min(
-            usable,
-            key=lambda each: self._preemption.weigh([each[0].job.job_id]),
-            default=None,
-        )
-        if best is None:
-            return None
-        standing = (
-            Standing.LENT if planned.job.stoppable else Standing.EXCLUSIVE
-        )
-        return Placement(pool.accelerated, (best[1],), standing)
-
-    def _has_urgent_share(self, planned: PlannedJob) -> bool:
-        """Whether urgent work may go before the rest outside guarantees.
-
-        No organisation gets more than half of what all may have.
-        """
-        shape = planned.job.shape
-        wanted = shape.members * max(1, shape.accelerators)
-        share = self._urgent_fraction * self.total_slots
-        held = self._urgent_by_organisation
-        own = held[planned.job.organisation] + wanted
-        return own <= max(1.0, share / 2) and held.total() + wanted <= share
-
-    def _count_urgent(self, planned: PlannedJob, sign: int) -> None:
-        if not self._is_urgent_lent(planned) or planned.placement is None:
-            return
-        name = planned.job.organisation
-        self._urgent_by_organisation[name] += sign * planned.placement.slots
-        share = self._urgent_fraction * self.total_slots
-        self._ordering.urgent_first = (
-            self._urgent_by_organisation.total() < share
-        )
+        running = self._iterate_running()
+        return place_over_lent(pool, planned, running, self._preemption)
 
-    def _is_urgent_lent(self, planned: PlannedJob) -> bool:
-        placement = planned.placement
+    def _iterate_running(self) -> Iterator[PlannedJob]:
+        """Yields the jobs that run and have not been told to stop."""
         return (
-            planned.key.urgent
-            and placement is not None
-            and placement.standing is not Standing.GUARANTEED
+            planned
+            for planned in self.jobs.values()
+            if planned.started_at_s
+            and planned.placement is not None
+            and planned.job.job_id not in self._promised
+            and not planned.stopping
         )
 
     def _commit(
         self, pool: Pool, planned: PlannedJob, placement: Placement
     ) -> None:
         job_id = planned.job.job_id
-        self._drop_reservation(job_id)
+        self._reservations.drop_for(job_id)
         self._displace(pool, placement)
         planned.placement = placement
         for cell in placement.cells:
             planned.waits_for |= pool.promise(cell, job_id)
-        self._count_urgent(planned, 1)
+        self._urgent.count(planned, 1)
         self._dequeue(planned)
         for victim_id in planned.waits_for:
             self._victims[victim_id].add(job_id)
@@ -829,127 +692,29 @@
         self.counters.preemptions += 1
         self._ready.append(Stop(victim, cause))
 
-    def _take_claims(
-        self, pool: Pool, planned: PlannedJob, placement: Placement
-    ) -> None:
-        """Claims what a placement needs.
-
-        Raises:
-            InvariantError: If it cannot be had; nothing is claimed then.
-        """
-        name = planned.job.organisation
-        taken: list[tuple[Cell, Cell | None]] = []
-        try:
-            for cell, owner in placement.members:
-                if owner is not None:
-                    self._take_bound(pool, name, cell, owner)
-                elif placement.standing is Standing.EXCLUSIVE:
-                    pool.book.claim(cell)
-                else:
-                    continue
-                taken.append((cell, owner))
-        except InvariantError:
-            for cell, owner in taken:
-                if owner is not None:
-                    self._release_bound(pool, name, cell, owner)
-                else:
-                    pool.book.release(cell)
-            raise
-
-    def _take_bound(
-        self, pool: Pool, name: OrganisationName, cell: Cell, owner: Cell
-    ) -> None:
-        if pool.book.is_bound(name, owner):
-            bound = pool.book.get_bound(name, owner)
-        else:
-            bound = pool.book.bind(name, owner)
-        bound.room.take(cell)
-
-    def _adopt_claims(
-        self, pool: Pool, planned: PlannedJob, placement: Placement
-    ) -> Placement:
-        """Claims a running gang's cells as far as the rules allow."""
-        try:
-            self._take_claims(pool, planned, placement)
-            return placement
-        except InvariantError:
-            pass
-        if planned.job.stoppable:
-            return Placement(
-                placement.accelerated, placement.cells, Standing.LENT
-            )
-        claimable = all(
-            pool.book.unclaimed.is_free(cell) for cell in placement.cells
-        )
-        if not claimable:
-            raise CellError(f"cells of {planned.job.job_id} are claimed")
-        for cell in placement.cells:
-            pool.book.claim_occupied(cell)
-        return Placement(
-            placement.accelerated, placement.cells, Standing.EXCLUSIVE
-        )
-
     def _check_guarantees(self) -> None:
         for pool in self.pools:
             pool.book.check()
 
     def _reserve(self) -> None:
-        """Keeps a reservation for the oldest gang that does not fit."""
-        now_s = self._now()
-        current = self._reservation
-        if current is not None:
-            if now_s < current.made_s + REPLAN_AFTER_S:
+        """Keeps a reservation for the gang whose turn it is."""
+        reservations = self._reservations
+        if reservations.current is not None:
+            if not reservations.is_old(self._now()):
                 return
-            self._drop_reservation(current.planned.job.job_id)
+            reservations.drop()
             self._ordering.reopen(None)
-        oldest = self._choose_blocked()
-        if oldest is None:
+        gang = reservations.choose(
+            self._waiting, now_s=self._now(), rate=self._ordering.rate
+        )
+        if gang is None:
             return
-        for pool in self._list_pools(oldest.job):
-            reservation = plan_reservation(
-                pool, oldest, now_s=now_s, get_end_s=self._get_end_s
-            )
-            if reservation is not None:
-                self._reservation = reservation
-                pool.hold(list(reservation.cells))
+        for pool in self._list_pools(gang.job):
+            if reservations.make(
+                pool, gang, now_s=self._now(), get_end_s=self._get_end_s
+            ):
                 self.counters.reservations += 1
                 return
 
-    def _note_blocked(self, candidate: Candidate) -> None:
-        planned = candidate.planned
-        if candidate.route is Route.FREE and _may_reserve(planned):
-            self._blocked[planned.key] = planned
-
-    def _choose_blocked(self) -> PlannedJob | None:
-        """Returns the gang that does not fit and whose turn it is first."""
-        self._blocked = {
-            key: planned
-            for key, planned in self._blocked.items()
-            if planned.job.job_id in self._waiting
-        }
-        oldest_s = self._now() - RESERVE_AFTER_S
-        return min(
-            (
-                planned
-                for planned in self._blocked.values()
-                if planned.queued_at_s <= oldest_s
-                and planned.job.job_id not in self._unreservable
-            ),
-            key=self._ordering.rate,
-            default=None,
-        )
-
     def _get_end_s(self, job_id: JobId) -> float:
         return self.jobs[job_id].get_end_s(self._now())
-
-    def _drop_reservation(self, job_id: JobId) -> None:
-        reservation = self._reservation
-        if reservation and reservation.planned.job.job_id == job_id:
-            reservation.pool.unhold()
-            self._reservation = None
-
-
-def _may_reserve(planned: PlannedJob) -> bool:
-    """Whether a job can starve behind smaller ones and may wait."""
-    shape = planned.job.shape
-    return not planned.key.urgent and shape.members * shape.accelerators > 1
--- a/lagoonbeam/core/reservation.py
+++ b/lagoonbeam/core/reservation.py
@@ -1,8 +1,8 @@
-"""A reservation: cells set aside for the oldest gang that does not fit."""
+"""Reservations: cells set aside for the gang whose turn it is."""
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Container
 from dataclasses import dataclass
 from itertools import chain
 
@@ -12,11 +12,16 @@
     Cell,
     round_up,
 )
-from lagoonbeam.core.planned import PlannedJob
+from lagoonbeam.core.planned import PlannedJob, ShapeKey
 from lagoonbeam.core.pool import Pool
 from lagoonbeam.placement.cells import split_cell
 from lagoonbeam.types import JobId
 
+RESERVE_AFTER_S = 1.0
+"""Wait after which a gang that does not fit gets a reservation."""
+REPLAN_AFTER_S = 30.0
+"""Age at which a reservation is planned anew."""
+
 
 @dataclass(frozen=True)
 class Reservation:
@@ -106,3 +111,91 @@
 ) -> float:
     ends = (get_end_s(job_id) for job_id in pool.list_occupants(cell))
     return max(ends, default=now_s)
+
+
+class Reservations:
+    """Keeps at most one reservation of a zone.
+
+    Attributes:
+        current: The reservation, if there is one.
+    """
+
+    def __init__(self) -> None:
+        self.current: Reservation | None = None
+        self._blocked: dict[ShapeKey, PlannedJob] = {}
+        self._refused: set[JobId] = set()
+
+    def is_old(self, now_s: float) -> bool:
+        """Whether the reservation is to be planned anew."""
+        made_s = self.current.made_s if self.current else now_s
+        return now_s >= made_s + REPLAN_AFTER_S
+
+    def note_blocked(self, planned: PlannedJob) -> None:
+        """Takes note of a job that did not fit, if it may starve."""
+        shape = planned.job.shape
+        is_large = shape.members * shape.accelerators > 1
+        if is_large and not planned.key.urgent:
+            self._blocked[planned.key] = planned
+
+    def choose(
+        self,
+        waiting: Container[JobId],
+        *,
+        now_s: float,
+        rate: Callable[[PlannedJob], tuple[float, ...]],
+    ) -> PlannedJob | None:
+        """Returns the gang that does not fit and whose turn is first.
+
+        Args:
+            waiting: The queued jobs.
+            now_s: The time now.
+            rate: How late a job's turn is.
+        """
+        self._blocked = {
+            key: planned
+            for key, planned in self._blocked.items()
+            if planned.job.job_id in waiting
+        }
+        found = (
+            planned
+            for planned in self._blocked.values()
+            if planned.queued_at_s <= now_s - RESERVE_AFTER_S
+            and planned.job.job_id not in self._refused
+        )
+        return min(found, key=rate, default=None)
+
+    def make(
+        self,
+        pool: Pool,
+        planned: PlannedJob,
+        *,
+        now_s: float,
+        get_end_s: Callable[[JobId], float],
+    ) -> bool:
+        """Sets cells aside; returns whether the pool could hold the gang."""
+        self.current = plan_reservation(
+            pool, planned, now_s=now_s, get_end_s=get_end_s
+        )
+        if self.current is None:
+            return False
+        pool.hold(list(self.current.cells))
+        return True
+
+    def drop(self) -> None:
+        """Ends the reservation."""
+        if self.current is not None:
+            self.current.pool.unhold()
+            self.current = None
+
+    def drop_for(self, job_id: JobId) -> None:
+        """Ends the reservation if it is this job's."""
+        if self.current and self.current.planned.job.job_id == job_id:
+            self.drop()
+
+    def refuse(self, planned: PlannedJob) -> None:
+        """Reserves nothing for a job whose claim was refused."""
+        self._refused.add(planned.job.job_id)
+
+    def forget_refusals(self) -> None:
+        """Allows reservations for all jobs again."""
+        self._refused.clear()
