--- a/Makefile
+++ b/Makefile
@@ -39,3 +39,11 @@
 
 mutations: setup
 	$(BIN)/python -m harness.mutations
+
+plots: setup
+	$(BIN)/python -m benchmarks.bench > build-bench.out
+	$(BIN)/python -m benchmarks.plots build-bench.out
+	rm build-bench.out
+
+load: setup
+	$(BIN)/python -m harness.load
--- /dev/null
+++ b/benchmarks/plots.py
@@ -0,0 +1,59 @@
+"""``make plots``: the main measures of ``make bench`` as SVG files.
+
+Reads the bench's last line from a file and writes into ``docs/plots``.
+"""
+
+from __future__ import annotations
+
+import json
+import sys
+from pathlib import Path
+from typing import Any
+
+import matplotlib
+
+matplotlib.use("svg")
+from matplotlib import pyplot  # noqa: E402
+
+FOLDER = Path(__file__).parent.parent / "docs" / "plots"
+MEASURES = {
+    "mean_completion_s": "mean completion (s)",
+    "check_p99_s": "p99 completion of urgent checks (s)",
+    "stranded": "accelerators free but of no use to a waiting gang (share)",
+}
+
+
+def draw(results: dict[str, Any], measure: str, label: str) -> None:
+    """Draws one measure for all scenes, deployments and policies."""
+    rows = [
+        (f"{scene}\n{deployment}", policies)
+        for scene, deployments in results.items()
+        for deployment, policies in deployments.items()
+    ]
+    policies = list(rows[0][1])
+    figure, axes = pyplot.subplots(figsize=(10, 7))
+    height = 0.8 / len(policies)
+    for index, policy in enumerate(policies):
+        places = [row + index * height for row in range(len(rows))]
+        values = [each[policy].get(measure, 0.0) for _, each in rows]
+        axes.barh(places, values, height, label=policy)
+    axes.set_yticks(range(len(rows)), [name for name, _ in rows], fontsize=7)
+    axes.set_xscale("log" if measure.endswith("_s") else "linear")
+    axes.set_xlabel(label)
+    axes.legend()
+    figure.tight_layout()
+    figure.savefig(FOLDER / f"{measure}.svg", metadata={"Date": None})
+    pyplot.close(figure)
+
+
+def main() -> None:
+    """Draws all plots from the bench's output."""
+    lines = Path(sys.argv[1]).read_text().splitlines()
+    results = json.loads(lines[-1])
+    FOLDER.mkdir(exist_ok=True)
+    for measure, label in MEASURES.items():
+        draw(results, measure, label)
+
+
+if __name__ == "__main__":
+    main()
