--- a/lagoonbeam/scheduler/node.py
+++ b/lagoonbeam/scheduler/node.py
@@ -14,7 +14,7 @@
 
 from lagoonbeam.core.events import EventLog
 from lagoonbeam.core.faultpoints import FaultPoints
-from lagoonbeam.core.jobs import Job, JobStatus, Phase
+from lagoonbeam.core.jobs import Job, JobStatus
 from lagoonbeam.core.link import Link
 from lagoonbeam.core.messages import (
     CancelJob,
@@ -158,7 +158,7 @@
         tasks.start_soon(self.catalog.run)
         tasks.start_soon(self.leadership.run)
         tasks.start_soon(self._keep_house)
-        self.events.emit("scheduler.started", cause=uuid.uuid4().hex[:8])
+        self.events.emit("scheduler.started")
 
     async def close(self) -> None:
         """Closes all parts."""
@@ -234,7 +234,7 @@
         if status is not None and status.outcome:
             return status
         live = self.zone.describe(job_id) if self.zone else None
-        if live is not None and (live.outcome or self._can_tell(live)):
+        if live is not None:
             return live
         notice = self._notices.get(job_id)
         if notice is not None:
@@ -378,9 +378,6 @@
 
     # What happens
 
-    def _can_tell(self, status: JobStatus) -> bool:
-        return status.phase != Phase.FINISHED.value
-
     async def _serve_stream(self, stream: anyio.abc.SocketStream) -> None:
         link = Link(stream, clock=self.events.clock, handler=self.answer)
         await link.run()
--- a/lagoonbeam/scheduler/zone.py
+++ b/lagoonbeam/scheduler/zone.py
@@ -249,7 +249,7 @@
             self._stop_gang(gang, "cancelled", checkpoint=False)
             return
         planned = self.planner.jobs.get(job_id)
-        job = planned.job if planned else self._find_unresolved(job_id)
+        job = planned.job if planned else self._find_in_log(job_id)
         if job is None:
             raise UnknownJobError(
                 f"got job {job_id!r}, expected one of zone {self._zone!r}"
@@ -897,7 +897,8 @@
             report.attempt == attempt and report.started for report in reports
         )
 
-    def _find_unresolved(self, job_id: JobId) -> Job | None:
+    def _find_in_log(self, job_id: JobId) -> Job | None:
+        """Returns a job of this zone that is not planned yet, or None."""
         entry = self._journal.state.jobs.get(job_id)
         if entry is None or entry.job.availability_zone != self._zone:
             return None
