--- a/benchmarks/simulation.py
+++ b/benchmarks/simulation.py
@@ -176,6 +176,7 @@
         while self._dirty:
             zone = self._dirty.pop()
             planner = self.planners[zone]
+            self._expire(zone)
             try:
                 decisions = planner.decide()
             except InvariantError:
--- a/lagoonbeam/core/planner.py
+++ b/lagoonbeam/core/planner.py
@@ -37,6 +37,8 @@
 from lagoonbeam.preemption import PREEMPTIONS, PreemptionPolicy
 from lagoonbeam.types import JobId, OrganisationName, WorkerName, ZoneName
 
+LAUNCH_MARGIN_S = 0.25
+"""Time that a launch may take; a job is placed so much before its deadline."""
 GUARD_AFTER_S = 60.0
 """Wait after which a job keeps its organisation's guarantee for itself."""
 RECLAIM_AFTER_S = {"urgent": 0.0, "normal": 30.0, "batch": 120.0}
@@ -223,7 +225,7 @@
         )
         self.jobs[job.job_id] = planned
         if job.start_within_s:
-            due_s = planned.queued_at_s + job.start_within_s
+            due_s = planned.queued_at_s + job.start_within_s - LAUNCH_MARGIN_S
             heapq.heappush(self._deadlines, (due_s, job.job_id))
         self._enqueue(planned)
 
