A cluster that fails to start leaves no process behind

Cause: after a soak that did not start, its stand-ins were still running: an error in __enter__ skips __exit__. Change: a failed start closes the cluster.

--- a/harness/cluster.py
+++ b/harness/cluster.py
@@ -99,7 +99,11 @@
         self.relay_url = f"http://127.0.0.1:{self.relay_port}"
 
     def __enter__(self) -> Cluster:
-        self.start()
+        try:
+            self.start()
+        except BaseException:
+            self.close()
+            raise
         return self
 
     def __exit__(self, *error: object) -> None:
