--- a/lagoonbeam/errors.py
+++ b/lagoonbeam/errors.py
@@ -331,3 +331,52 @@
     """No plug-in is registered under the given name."""
 
     code = "unknown_plugin"
+
+
+class ServerUnreachableError(UnavailableError):
+    """No connection could be made; the request was not sent."""
+
+    code = "server_unreachable"
+
+
+class AnswerLostError(UnavailableError):
+    """A request was sent and not answered; it may have had its effect."""
+
+    code = "answer_lost"
+
+
+class StoreBusyError(UnavailableError):
+    """The store refused a call without any effect."""
+
+    code = "store_busy"
+
+
+class FencedError(UnavailableError):
+    """A newer term exists; nothing was written or done."""
+
+    code = "fenced"
+
+
+class OffsetConflictError(UnavailableError):
+    """The journal does not end where a conditional append expected."""
+
+    code = "offset_conflict"
+
+
+class SequenceError(UnavailableError):
+    """An append's sequence number does not follow the last one."""
+
+    code = "sequence"
+
+
+class MalformedAnswerError(UnavailableError):
+    """Another system's answer or record cannot be read."""
+
+    code = "malformed_answer"
+
+
+class UnknownQueueError(RequestError):
+    """No such queue exists."""
+
+    code = "unknown_queue"
+    http_status = 404
--- /dev/null
+++ b/lagoonbeam/site/node.py
@@ -0,0 +1,214 @@
+"""One instance: follows the journal, serves callers, schedules in its term."""
+
+from __future__ import annotations
+
+import random
+import secrets
+import time
+from dataclasses import dataclass
+
+import anyio
+import anyio.abc
+
+from lagoonbeam.errors import LagoonbeamError
+from lagoonbeam.site.decisions import Decisions
+from lagoonbeam.site.journal import (
+    JournalAppender,
+    JournalFollower,
+    claim_term,
+    jitter,
+)
+from lagoonbeam.site.ports import (
+    ConfigurationSource,
+    JournalStore,
+    WorkerConnector,
+    WorkerDirectory,
+    Writer,
+)
+from lagoonbeam.site.records import InstanceJoined
+from lagoonbeam.site.scheduler import Scheduler, SchedulerBounds
+from lagoonbeam.site.service import JobService
+
+SCHEDULER_WRITER = "scheduler"
+"""Name under which active schedulers append; the store fences it."""
+TAKEOVER_S = 1.6
+"""Seconds without a sign of life after which a term may be claimed; three
+renewals and the slowest answer of the store."""
+TAKEOVER_SPREAD_S = 0.4
+"""Seconds over which instances spread their claims."""
+ELECTION_S = 0.1
+"""Seconds between two looks at whether to claim."""
+CONFIGURATION_WAIT_S = 1.0
+"""Seconds one reading waits for a new configuration; it must be in force
+within two."""
+RETRY_S = 0.2
+"""Seconds before a failed reading is repeated."""
+JOIN_TIMEOUT_S = 5.0
+"""Seconds to wait for the record of this instance's start."""
+
+
+@dataclass(frozen=True, slots=True)
+class InstanceAddress:
+    """Where an instance is.
+
+    Attributes:
+        instance: Its name.
+        availability_zone: Its zone.
+        host: IP number at which peers reach it.
+        port: TCP port at which peers reach it.
+    """
+
+    instance: str
+    availability_zone: str
+    host: str
+    port: int
+
+
+class Node:
+    """Everything of one instance but its outside faces.
+
+    Args:
+        address: Where it is.
+        store: The journal.
+        configuration: Where operators publish.
+        directory: The list of workers.
+        connector: Makes clients for workers.
+        bounds: Times that the platform gives.
+        decisions: The decision log.
+    """
+
+    def __init__(
+        self,
+        *,
+        address: InstanceAddress,
+        store: JournalStore,
+        configuration: ConfigurationSource,
+        directory: WorkerDirectory,
+        connector: WorkerConnector,
+        bounds: SchedulerBounds,
+        decisions: Decisions,
+    ):
+        self._address = address
+        self._store = store
+        self._configuration = configuration
+        self._directory = directory
+        self._connector = connector
+        self._bounds = bounds
+        self._decisions = decisions
+        self._incarnation = f"{address.instance}-{secrets.token_hex(6)}"
+        self._scheduler: Scheduler | None = None
+        self._spread_s = random.uniform(0, TAKEOVER_SPREAD_S)
+        self.follower = JournalFollower(store, decisions)
+        self._appender = JournalAppender(
+            store, Writer(self._incarnation), self.follower
+        )
+        self.service = JobService(self.follower, self._appender, decisions)
+
+    async def run(self) -> None:
+        """Works until cancelled."""
+        self._decisions.emit("instance.start", incarnation=self._incarnation)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self.follower.run)
+            tasks.start_soon(self._appender.run)
+            tasks.start_soon(self._join)
+            tasks.start_soon(self._follow_configuration)
+            tasks.start_soon(self._schedule)
+
+    async def drain(self) -> None:
+        """Hands the term over and takes no new callers."""
+        self.service.is_draining = True
+        self._decisions.emit("instance.drain")
+        if self._scheduler is not None:
+            await self._scheduler.resign()
+
+    def peer_hosts(self) -> tuple[str, ...]:
+        """Returns the IP numbers of all instances that joined."""
+        instances = self.follower.state.instances.values()
+        return tuple(instance.host for instance in instances)
+
+    async def _join(self) -> None:
+        record = InstanceJoined(
+            self._address.instance,
+            self._incarnation,
+            self._address.host,
+            self._address.port,
+        )
+        while True:
+            try:
+                await self._appender.append([record], timeout_s=JOIN_TIMEOUT_S)
+            except LagoonbeamError as error:
+                self._decisions.emit("instance.join_failed", cause=str(error))
+                await anyio.sleep(jitter(RETRY_S))
+            else:
+                return
+
+    async def _follow_configuration(self) -> None:
+        while True:
+            version = self.service.configuration.version
+            try:
+                newer = await self._configuration.wait_newer(
+                    version, wait_s=CONFIGURATION_WAIT_S
+                )
+            except LagoonbeamError:
+                await anyio.sleep(jitter(RETRY_S))
+                continue
+            if newer is not None:
+                self.service.configuration = newer
+                self._decisions.emit(
+                    "configuration.in_force",
+                    version=newer.version,
+                    before=version,
+                    queues=len(newer.routes),
+                )
+
+    def _should_claim(self) -> bool:
+        now_s = time.monotonic()
+        follower = self.follower
+        if (
+            self.service.is_draining
+            or not self.service.configuration.version
+            or follower.age_s > 2 * CONFIGURATION_WAIT_S
+        ):
+            return False
+        if follower.state.term.is_resigned:
+            return True
+        heard_s = max(
+            follower.term_seen_s, follower.failed_s, follower.first_synced_s
+        )
+        return now_s - heard_s > TAKEOVER_S + self._spread_s
+
+    async def _schedule(self) -> None:
+        while True:
+            await anyio.sleep(jitter(ELECTION_S))
+            if not self._should_claim():
+                continue
+            writer = await claim_term(
+                self._store,
+                self.follower,
+                writer_name=SCHEDULER_WRITER,
+                instance=self._address.instance,
+                incarnation=self._incarnation,
+            )
+            if writer is None:
+                self._decisions.emit("term.not_claimed")
+                continue
+            self._decisions.emit(
+                "term.claimed",
+                term=writer.epoch,
+                offset=self.follower.offset,
+                age_s=round(self.follower.age_s, 3),
+            )
+            self._scheduler = Scheduler(
+                store=self._store,
+                follower=self.follower,
+                directory=self._directory,
+                connector=self._connector,
+                writer=writer,
+                get_configuration=lambda: self.service.configuration,
+                bounds=self._bounds,
+                decisions=self._decisions,
+            )
+            try:
+                await self._scheduler.run()
+            finally:
+                self._scheduler = None
--- /dev/null
+++ b/lagoonbeam/site/records.py
@@ -0,0 +1,148 @@
+"""Records of the journal: everything that must outlive a process."""
+
+from __future__ import annotations
+
+from typing import TypeAlias
+
+import msgspec
+
+from lagoonbeam.errors import MalformedAnswerError
+from lagoonbeam.site.model import End, JobRequest
+
+
+class _Record(msgspec.Struct, frozen=True, array_like=True):
+    """Base of all records."""
+
+
+class InstanceJoined(_Record, frozen=True, tag="join"):
+    """An instance started.
+
+    Attributes:
+        instance: Its name.
+        incarnation: Random name of this life of it.
+        host: IP number at which peers reach it.
+        port: TCP port at which peers reach it.
+    """
+
+    instance: str
+    incarnation: str
+    host: str
+    port: int
+
+
+class JobAccepted(_Record, frozen=True, tag="accept"):
+    """A caller's job is stored; the first record of an identifier counts."""
+
+    job: JobRequest
+
+
+class JobCancelled(_Record, frozen=True, tag="cancel"):
+    """A caller cancelled a job."""
+
+    job_id: str
+
+
+class JobFailed(_Record, frozen=True, tag="fail"):
+    """A job's task has failed as often as it may."""
+
+    job_id: str
+    task_id: str
+
+
+class TermClaimed(_Record, frozen=True, tag="claim"):
+    """An instance became the active scheduler."""
+
+    term: int
+    instance: str
+    incarnation: str
+
+
+class TermRenewed(_Record, frozen=True, tag="renew"):
+    """The active scheduler lives."""
+
+    term: int
+
+
+class TermResigned(_Record, frozen=True, tag="resign"):
+    """The active scheduler stops; any instance may claim at once."""
+
+    term: int
+
+
+class Placement(_Record, frozen=True):
+    """One run that is about to be started.
+
+    Attributes:
+        task_id: The task.
+        run: Number of its start.
+        worker: Where.
+        incarnation: The worker's incarnation.
+        checkpoint: Progress that the run resumes from; empty for none.
+    """
+
+    task_id: str
+    run: int
+    worker: str
+    incarnation: int
+    checkpoint: str = ""
+
+
+class RunsPlaced(_Record, frozen=True, tag="place"):
+    """Runs that may exist from now on."""
+
+    placements: tuple[Placement, ...]
+
+
+class RunEnd(_Record, frozen=True):
+    """One run that certainly exists no longer.
+
+    Attributes:
+        task_id: The task.
+        run: Number of its start.
+        end: How it ended.
+        checkpoint: Newest known progress; empty for none.
+    """
+
+    task_id: str
+    run: int
+    end: End
+    checkpoint: str = ""
+
+
+class RunsEnded(_Record, frozen=True, tag="end"):
+    """Runs that certainly exist no longer."""
+
+    ends: tuple[RunEnd, ...]
+
+
+Record: TypeAlias = (
+    InstanceJoined
+    | JobAccepted
+    | JobCancelled
+    | JobFailed
+    | TermClaimed
+    | TermRenewed
+    | TermResigned
+    | RunsPlaced
+    | RunsEnded
+)
+
+_ENCODER = msgspec.msgpack.Encoder()
+_DECODER = msgspec.msgpack.Decoder(Record)
+
+
+def encode_record(record: Record) -> bytes:
+    """Returns a record's bytes."""
+    return _ENCODER.encode(record)
+
+
+def decode_record(data: bytes) -> Record:
+    """Returns the record in some bytes.
+
+    Raises:
+        MalformedAnswerError: If they hold no known record.
+    """
+    try:
+        return _DECODER.decode(data)
+    except msgspec.MsgspecError as error:
+        raise MalformedAnswerError(f"journal record: {error}") from error
--- /dev/null
+++ b/lagoonbeam/site/scheduler.py
@@ -0,0 +1,516 @@
+"""The active scheduler of a site: decides what runs where."""
+
+from __future__ import annotations
+
+import time
+from collections import defaultdict
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+
+import anyio
+import anyio.abc
+
+from lagoonbeam.errors import LagoonbeamError, LogUncertainError
+from lagoonbeam.site.decisions import Decisions
+from lagoonbeam.site.guarantees import find_covered
+from lagoonbeam.site.journal import JournalAppender, JournalFollower
+from lagoonbeam.site.model import (
+    Configuration,
+    End,
+    JobState,
+    QueuePolicy,
+    WorkerReport,
+)
+from lagoonbeam.site.placement import (
+    ACCELERATOR_CORES,
+    Assignment,
+    Eviction,
+    Room,
+    Rooms,
+    could_be_near,
+    find_eviction,
+    make_room,
+    place_unit,
+)
+from lagoonbeam.site.ports import (
+    JournalStore,
+    WorkerConnector,
+    WorkerDirectory,
+    Writer,
+)
+from lagoonbeam.site.records import (
+    JobFailed,
+    Placement,
+    Record,
+    RunEnd,
+    RunsEnded,
+    RunsPlaced,
+    TermRenewed,
+    TermResigned,
+)
+from lagoonbeam.site.session import WorkerSession
+from lagoonbeam.site.state import JobEntry, SiteState, TaskState, UnitState
+
+RENEW_S = 0.5
+"""Seconds between two signs of life in the journal."""
+DIRECTORY_S = 0.4
+"""Seconds between two readings of the list of workers; a leaving worker is
+known within a fifth of the two seconds after which it must get no work."""
+PLAN_S = 0.25
+"""Longest time between two plans."""
+APPEND_TIMEOUT_S = 10.0
+"""Seconds to wait for the journal; the runs concerned stay as they are."""
+AUTHORITY_S = 8.0
+"""Seconds without the store for which an active scheduler renews leases."""
+PLACED_AT_ONCE = 40
+"""Most tasks placed in one plan, so that a plan stays short."""
+FAR_AFTER_S = 1.5
+"""Seconds that a unit waits for a place where it runs at full speed."""
+EVICTION_S = 2.0
+"""Seconds that room is kept for a unit after its victims were stopped."""
+SNAPSHOT_SHARE = 0.25
+"""Part of the store's history after which a snapshot is written."""
+
+
+@dataclass(frozen=True, slots=True)
+class SchedulerBounds:
+    """Times that the platform gives.
+
+    Attributes:
+        lease_s: Longest lease of a run.
+        history_s: How long the store keeps records.
+    """
+
+    lease_s: float
+    history_s: float
+
+
+@dataclass(slots=True)
+class _Reserved:
+    """Room kept for a unit whose victims are being stopped."""
+
+    unit: UnitState
+    assignment: Assignment
+    until_s: float
+
+
+class Scheduler:
+    """Schedules while its term lasts.
+
+    Args:
+        store: The journal.
+        follower: The copy of the state.
+        directory: The list of workers.
+        connector: Makes clients for workers.
+        writer: The term to write with.
+        get_configuration: Returns the configuration in force.
+        bounds: Times that the platform gives.
+        decisions: The decision log.
+    """
+
+    def __init__(
+        self,
+        *,
+        store: JournalStore,
+        follower: JournalFollower,
+        directory: WorkerDirectory,
+        connector: WorkerConnector,
+        writer: Writer,
+        get_configuration: Callable[[], Configuration],
+        bounds: SchedulerBounds,
+        decisions: Decisions,
+    ):
+        self.token = writer.epoch
+        self.foreign_lease_s = (
+            time.monotonic() + AUTHORITY_S + bounds.lease_s * 1.03
+        )
+        self.sessions: dict[str, WorkerSession] = {}
+        self._follower = follower
+        self._directory = directory
+        self._connector = connector
+        self._get_configuration = get_configuration
+        self._bounds = bounds
+        self._decisions = decisions
+        self._appender = JournalAppender(store, writer, follower, sequence=1)
+        self._scope = anyio.CancelScope()
+        self._wake = anyio.Event()
+        self._launching: set[str] = set()
+        self._reserved: dict[str, _Reserved] = {}
+        self._snapshot_s = time.monotonic()
+        self._tasks: anyio.abc.TaskGroup | None = None
+
+    @property
+    def state(self) -> SiteState:
+        """The state in force."""
+        return self._follower.state
+
+    @property
+    def may_renew(self) -> bool:
+        """Whether leases may still be renewed."""
+        return time.monotonic() - self._appender.confirmed_s < AUTHORITY_S
+
+    async def run(self) -> None:
+        """Schedules until the term is lost or `resign` is called."""
+        async with anyio.create_task_group() as tasks:
+            self._tasks = tasks
+            with self._scope:
+                tasks.start_soon(self._append)
+                tasks.start_soon(self._keep_term)
+                tasks.start_soon(self._follow_directory)
+                tasks.start_soon(self._follow_journal)
+                await self._plan_forever()
+            tasks.cancel_scope.cancel()
+
+    async def resign(self) -> None:
+        """Ends the term, so that another instance may claim at once."""
+        try:
+            record = TermResigned(self.token)
+            await self._appender.append([record], timeout_s=1.0)
+        except LagoonbeamError as error:
+            self._decisions.emit("term.resign_failed", cause=str(error))
+        self.lose_term("resigned")
+
+    def lose_term(self, cause: str) -> None:
+        """Stops scheduling."""
+        if not self._scope.cancel_called:
+            self._decisions.emit("term.lost", term=self.token, cause=cause)
+        self._scope.cancel()
+
+    async def end_runs(self, ends: Sequence[RunEnd]) -> bool:
+        """Journals ends; returns whether they are stored."""
+        records: list[Record] = [RunsEnded(tuple(ends))]
+        return await self._journal(records)
+
+    def note_view(self, session: WorkerSession) -> None:
+        """Plans again after a look."""
+        self._wake.set()
+
+    def note_refusal(self, session: WorkerSession, task: TaskState) -> None:
+        """Stops the other members of a gang after a refused start."""
+        self._stop_unit(task.unit, f"a start at {session.worker} was refused")
+        self._wake.set()
+
+    def is_wanted(self, task: TaskState) -> bool:
+        """Whether a task's run should go on."""
+        return task.unit.job.is_open
+
+    async def _append(self) -> None:
+        await self._appender.run()
+        self.lose_term(f"journal: {self._appender.error!r}")
+
+    async def _journal(self, records: Sequence[Record]) -> bool:
+        try:
+            end = await self._appender.append(
+                records, timeout_s=APPEND_TIMEOUT_S
+            )
+        except LagoonbeamError as error:
+            if not isinstance(error, LogUncertainError):
+                self._decisions.emit("journal.refused", cause=str(error))
+            return False
+        return await self._follower.wait_for(end, APPEND_TIMEOUT_S)
+
+    async def _keep_term(self) -> None:
+        while True:
+            await self._journal([TermRenewed(self.token)])
+            due_s = self._bounds.history_s * SNAPSHOT_SHARE
+            if time.monotonic() - self._snapshot_s > due_s:
+                await self._save_snapshot()
+            await anyio.sleep(RENEW_S)
+
+    async def _save_snapshot(self) -> None:
+        self._snapshot_s = time.monotonic()
+        try:
+            await self._follower.save_snapshot()
+        except LagoonbeamError as error:
+            self._decisions.emit("snapshot.failed", cause=str(error))
+
+    async def _follow_journal(self) -> None:
+        while True:
+            await self._follower.wait_change()
+            if self.state.term.number > self.token:
+                self.lose_term(f"term {self.state.term.number} was claimed")
+            self._wake.set()
+
+    async def _follow_directory(self) -> None:
+        while True:
+            try:
+                reports = await self._directory.list_workers()
+            except LagoonbeamError:
+                await anyio.sleep(DIRECTORY_S)
+                continue
+            for name, session in list(self.sessions.items()):
+                report = reports.get(name)
+                if report is None:
+                    session.is_listed = False
+                elif report.incarnation == session.report.incarnation:
+                    session.report = report
+                    session.is_listed = True
+                else:
+                    session.close()
+                    del self.sessions[name]
+            for name, report in reports.items():
+                if name not in self.sessions and self._tasks is not None:
+                    self._open_session(report)
+            await anyio.sleep(DIRECTORY_S)
+
+    def _open_session(self, report: WorkerReport) -> None:
+        assert self._tasks is not None
+        session = WorkerSession(
+            report,
+            self._connector.connect(report),
+            self,
+            lease_s=self._bounds.lease_s,
+            decisions=self._decisions,
+        )
+        self.sessions[report.worker] = session
+        self._tasks.start_soon(self._run_session, session)
+
+    async def _run_session(self, session: WorkerSession) -> None:
+        try:
+            await session.run()
+        finally:
+            if self.sessions.get(session.worker) is session:
+                del self.sessions[session.worker]
+
+    async def _plan_forever(self) -> None:
+        while True:
+            with anyio.move_on_after(PLAN_S):
+                await self._wake.wait()
+            self._wake = anyio.Event()
+            await self._plan()
+
+    async def _plan(self) -> None:
+        await self._end_lost_workers()
+        await self._fail_jobs()
+        now_s = time.time()
+        self._drop_reservations()
+        rooms = self._measure_rooms()
+        covered = find_covered(
+            self.state.open_jobs(),
+            self._get_configuration().organisations,
+            self._policy,
+        )
+        placements: list[Placement] = []
+        for unit in self._order(self._find_ready(now_s), covered):
+            if len(placements) >= PLACED_AT_ONCE:
+                self._wake.set()
+                break
+            assignment = self._place(unit, rooms, now_s)
+            if assignment is None:
+                continue
+            run = unit.next_run
+            for task, worker in assignment:
+                rooms[worker].take(unit)
+                report = self.sessions[worker].report
+                placements.append(
+                    Placement(
+                        task.task_id,
+                        run,
+                        worker,
+                        report.incarnation,
+                        unit.checkpoint,
+                    )
+                )
+            self._launching.add(unit.key)
+        if placements and self._tasks is not None:
+            self._tasks.start_soon(self._launch, placements)
+
+    async def _launch(self, placements: list[Placement]) -> None:
+        keys = {
+            self.state.tasks[p.task_id].unit.key
+            for p in placements
+            if p.task_id in self.state.tasks
+        }
+        try:
+            stored = await self._journal([RunsPlaced(tuple(placements))])
+        finally:
+            self._launching -= keys
+        if not stored or self._tasks is None:
+            return
+        for placement in placements:
+            task = self.state.tasks.get(placement.task_id)
+            session = self.sessions.get(placement.worker)
+            if (
+                task is None
+                or task.placement != placement
+                or session is None
+                or not task.unit.job.is_open
+                or session.report.incarnation != placement.incarnation
+            ):
+                continue
+            self._tasks.start_soon(session.start_run, task, placement)
+
+    def _policy(self, job: JobEntry) -> QueuePolicy:
+        """The policy in force for a job, or that of its acceptance."""
+        policy = job.request.queue
+        return self._get_configuration().find_policy(policy.name) or policy
+
+    def _find_ready(self, now_s: float) -> list[UnitState]:
+        return [
+            unit
+            for job in self.state.open_jobs()
+            for (occurrence, step), units in job.units.items()
+            if job.due_s(occurrence) <= now_s
+            and all(
+                job.is_step_done(occurrence, before)
+                for before in job.request.steps[step].after
+            )
+            for unit in units
+            if not unit.is_done
+            and not unit.has_runs
+            and unit.key not in self._launching
+        ]
+
+    def _order(
+        self, units: list[UnitState], covered: set[str]
+    ) -> list[UnitState]:
+        def rank(unit: UnitState) -> tuple[bool, int, float]:
+            job = unit.job
+            return (
+                job.request.job_id not in covered,
+                self._policy(job).priority,
+                max(job.request.accepted_at_s, job.due_s(unit.occurrence)),
+            )
+
+        return sorted(units, key=rank)
+
+    def _measure_rooms(self) -> Rooms:
+        rooms = {
+            name: make_room(session.report)
+            for name, session in self.sessions.items()
+            if session.is_usable
+        }
+        for name, room in rooms.items():
+            for task in self.state.placed.get(name, {}).values():
+                room.take(task.unit)
+        for reserved in self._reserved.values():
+            for task, worker in reserved.assignment:
+                if worker in rooms:
+                    rooms[worker].take(task.unit)
+        return rooms
+
+    def _drop_reservations(self) -> None:
+        now_s = time.monotonic()
+        self._reserved = {
+            key: reserved
+            for key, reserved in self._reserved.items()
+            if reserved.until_s > now_s
+            and reserved.unit.job.is_open
+            and not reserved.unit.has_runs
+        }
+
+    def _place(
+        self, unit: UnitState, rooms: Rooms, now_s: float
+    ) -> Assignment | None:
+        policy = self._policy(unit.job)
+        usable = {
+            name: room
+            for name, room in rooms.items()
+            if room.report.service == policy.service
+        }
+        reserved = self._reserved.pop(unit.key, None)
+        if reserved is not None:
+            for task, worker in reserved.assignment:
+                if worker in rooms:
+                    rooms[worker].take(task.unit, -1)
+        waited_s = now_s - max(
+            unit.job.request.accepted_at_s, unit.job.due_s(unit.occurrence)
+        )
+        allow_far = waited_s > FAR_AFTER_S or not could_be_near(
+            unit, (room.report for room in usable.values())
+        )
+        assignment = place_unit(unit, usable, allow_far=allow_far)
+        if assignment is not None:
+            return assignment
+        if reserved is not None:
+            for task, worker in reserved.assignment:
+                if worker in rooms:
+                    rooms[worker].take(task.unit)
+            self._reserved[unit.key] = reserved
+        elif policy.priority == 0:
+            self._evict(unit, usable, allow_far)
+        return None
+
+    def _evict(self, unit: UnitState, rooms: Rooms, allow_far: bool) -> None:
+        eviction = find_eviction(
+            unit, rooms, self._find_lent(), self._cost, allow_far=allow_far
+        )
+        if eviction is None:
+            return
+        self._reserve(unit, eviction, rooms)
+        for victim in eviction.victims:
+            self._stop_unit(victim, f"room for {unit.key}")
+
+    def _reserve(
+        self, unit: UnitState, eviction: Eviction, rooms: dict[str, Room]
+    ) -> None:
+        self._reserved[unit.key] = _Reserved(
+            unit, eviction.assignment, time.monotonic() + EVICTION_S
+        )
+        for _, worker in eviction.assignment:
+            rooms[worker].take(unit)
+
+    def _find_lent(self) -> dict[str, list[UnitState]]:
+        """Units that may be stopped for work of priority 0, by worker."""
+        lent: dict[str, dict[str, UnitState]] = defaultdict(dict)
+        for worker, tasks in self.state.placed.items():
+            for task in tasks.values():
+                unit = task.unit
+                if self._policy(unit.job).priority > 0:
+                    lent[worker][unit.key] = unit
+        return {worker: list(units.values()) for worker, units in lent.items()}
+
+    def _cost(self, unit: UnitState) -> float:
+        """Core-seconds thrown away by stopping a unit now."""
+        step = unit.spec
+        cores = step.cpu_millis / 1000 + ACCELERATOR_CORES * step.accelerators
+        lost_s = 1.0 if step.is_checkpointing else 5.0
+        return cores * lost_s * len(unit.tasks)
+
+    def _stop_unit(self, unit: UnitState, cause: str) -> None:
+        for task in unit.tasks:
+            placement = task.placement
+            if placement is None:
+                continue
+            session = self.sessions.get(placement.worker)
+            if session is not None:
+                session.order_stop(task.task_id, placement.run, cause)
+
+    async def _fail_jobs(self) -> None:
+        failed = []
+        for job in self.state.open_jobs():
+            most = self._policy(job).max_attempts
+            worst = next(
+                (
+                    unit
+                    for unit in job.all_units()
+                    if unit.failures >= most and not unit.spec.is_long_running
+                ),
+                None,
+            )
+            if worst is not None and not worst.is_done:
+                failed.append(JobFailed(job.request.job_id, worst.key))
+                self._decisions.emit(
+                    "job.ended",
+                    job=job.request.job_id,
+                    state=JobState.FAILED.value,
+                    task=worst.key,
+                    failures=worst.failures,
+                    allowed=most,
+                )
+        if failed:
+            await self._journal(failed)
+
+    async def _end_lost_workers(self) -> None:
+        """Ends runs on workers that are not listed and have no session."""
+        if time.monotonic() < self.foreign_lease_s:
+            return
+        ends = [
+            RunEnd(task.task_id, task.run, End.LAPSED)
+            for worker, tasks in self.state.placed.items()
+            if worker not in self.sessions
+            for task in tasks.values()
+        ]
+        if ends:
+            self._decisions.emit("worker.gone", runs=len(ends))
+            await self.end_runs(ends)
--- /dev/null
+++ b/lagoonbeam/site/service.py
@@ -0,0 +1,147 @@
+"""What callers ask of an instance: submit, cancel, state, pending."""
+
+from __future__ import annotations
+
+from lagoonbeam.errors import (
+    NotReadyError,
+    UnauthorizedError,
+    UnknownJobError,
+    UnknownQueueError,
+)
+from lagoonbeam.site.decisions import Decisions
+from lagoonbeam.site.journal import JournalAppender, JournalFollower
+from lagoonbeam.site.model import (
+    Configuration,
+    JobRequest,
+    JobState,
+    Organisation,
+    QueueRoute,
+)
+from lagoonbeam.site.records import JobAccepted, JobCancelled
+
+FRESH_S = 2.5
+"""Age up to which the copy of the state answers callers; accepted jobs must
+be visible everywhere after three seconds."""
+RETRY_AFTER_S = 1.0
+"""Seconds after which a refused caller is asked to come back."""
+STUCK_S = 0.6
+"""Seconds without the store after which new work is refused at once."""
+
+
+class JobService:
+    """Answers callers from the instance's copy of the state.
+
+    Args:
+        follower: The copy.
+        appender: Appends acceptances and cancellations.
+        decisions: The decision log.
+    """
+
+    def __init__(
+        self,
+        follower: JournalFollower,
+        appender: JournalAppender,
+        decisions: Decisions,
+    ):
+        self.configuration = Configuration()
+        self.is_draining = False
+        self._follower = follower
+        self._appender = appender
+        self._decisions = decisions
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether new callers should be sent here."""
+        return (
+            not self.is_draining
+            and self.configuration.version > 0
+            and self._follower.age_s < FRESH_S
+        )
+
+    def find_route(
+        self, host: str, path: str, key: str
+    ) -> tuple[QueueRoute, Organisation | None]:
+        """Returns the queue that a call is for, and who calls.
+
+        Raises:
+            NotReadyError: If there is no configuration yet.
+            UnknownQueueError: If no queue fits.
+            UnauthorizedError: If the key is not known.
+        """
+        if not self.configuration.version:
+            raise NotReadyError(
+                "no configuration yet", retry_after_s=RETRY_AFTER_S
+            )
+        route = self.configuration.find_route(host, path)
+        if route is None:
+            raise UnknownQueueError(f"no queue at {host}{path}")
+        organisation = self.configuration.find_organisation(key)
+        if organisation is None and not route.is_public:
+            raise UnauthorizedError("the key is not known")
+        return route, organisation
+
+    async def submit(self, request: JobRequest, *, timeout_s: float) -> None:
+        """Stores a job, unless it is stored already.
+
+        Raises:
+            LogUnavailableError: If it was not stored and never will be.
+            LogUncertainError: If it may have been stored.
+        """
+        if request.job_id in self._follower.state.jobs:
+            self._decisions.emit("job.repeated", job=request.job_id)
+            return
+        self._check_store()
+        await self._appender.append([JobAccepted(request)], timeout_s=timeout_s)
+        self._decisions.emit(
+            "job.accepted",
+            job=request.job_id,
+            queue=request.queue.name,
+            organisation=request.organisation,
+            version=self.configuration.version,
+        )
+
+    async def cancel(self, job_id: str, *, timeout_s: float) -> None:
+        """Cancels a job.
+
+        Raises:
+            UnknownJobError: If there is no such job.
+            LogUnavailableError: If it was not cancelled.
+            LogUncertainError: If it may have been cancelled.
+        """
+        self._find(job_id)
+        self._check_store()
+        await self._appender.append([JobCancelled(job_id)], timeout_s=timeout_s)
+        self._decisions.emit("job.cancelled", job=job_id)
+
+    def get_state(self, job_id: str) -> JobState:
+        """Returns where a job stands.
+
+        Raises:
+            UnknownJobError: If there is no such job.
+            NotReadyError: If the copy is too old to say.
+        """
+        return self._find(job_id)
+
+    def count_pending(self, queue: str) -> int:
+        """Returns how many accepted jobs of a queue have not started."""
+        self._check_fresh()
+        return self._follower.state.count_pending(queue)
+
+    def _find(self, job_id: str) -> JobState:
+        job = self._follower.state.jobs.get(job_id)
+        if job is not None and not job.is_open:
+            return job.state
+        self._check_fresh()
+        if job is None:
+            raise UnknownJobError(f"no job {job_id}")
+        return job.state
+
+    def _check_fresh(self) -> None:
+        if self._follower.age_s > FRESH_S:
+            raise NotReadyError(
+                f"the state is {self._follower.age_s:.1f} s old",
+                retry_after_s=RETRY_AFTER_S,
+            )
+
+    def _check_store(self) -> None:
+        self._appender.check(STUCK_S)
--- /dev/null
+++ b/lagoonbeam/site/session.py
@@ -0,0 +1,389 @@
+"""One worker's session: leases, starts, stops, and what became of runs."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Sequence
+from dataclasses import dataclass
+from typing import Protocol
+
+import anyio
+import anyio.abc
+
+from lagoonbeam.errors import FencedError, LagoonbeamError, UnavailableError
+from lagoonbeam.site.decisions import Decisions
+from lagoonbeam.site.model import End, RunningTask, WorkerReport, WorkerView
+from lagoonbeam.site.ports import StartOrder, StartRefusal, WorkerClient
+from lagoonbeam.site.records import Placement, RunEnd
+from lagoonbeam.site.state import SiteState, TaskState
+
+LOOK_WAIT_S = 1.0
+"""Seconds one look waits for an end; a fraction of the shortest lease."""
+DOUBT_WAIT_S = 0.1
+"""Seconds one look waits while a start or stop is in doubt."""
+LOOK_RETRY_S = 0.2
+"""Seconds between two looks at a worker that does not answer."""
+STOP_RETRY_S = 1.5
+"""Seconds after which a stop is ordered again; longer than a stop takes."""
+SLOWEST_CLOCK = 0.98
+"""Rate of the slowest worker clock, as the platform states."""
+UNREACHABLE_LOOKS = 2
+"""Failed looks in a row after which a worker gets no new runs."""
+
+
+class Owner(Protocol):
+    """What a session needs of its scheduler."""
+
+    state: SiteState
+    token: int
+    may_renew: bool
+    foreign_lease_s: float
+
+    async def end_runs(self, ends: Sequence[RunEnd]) -> bool:
+        """Journals ends; returns whether they are stored."""
+
+    def lose_term(self, cause: str) -> None:
+        """Stops scheduling: a newer term exists."""
+
+    def note_view(self, session: WorkerSession) -> None:
+        """Plans again after a look."""
+
+    def note_refusal(self, session: WorkerSession, task: TaskState) -> None:
+        """Gives up the rest of a unit after a refused start."""
+
+    def is_wanted(self, task: TaskState) -> bool:
+        """Whether a task's run should go on."""
+
+
+@dataclass(slots=True)
+class _Clock:
+    """A reading of the worker's steady clock.
+
+    Attributes:
+        worker_ms: What it showed.
+        read_s: Own monotonic time after the reading.
+    """
+
+    worker_ms: int
+    read_s: float
+
+    def estimate_ms(self) -> int:
+        return self.worker_ms + int((time.monotonic() - self.read_s) * 1000)
+
+    def passes_s(self, worker_ms: float) -> float:
+        """Own monotonic time by which it surely shows a time."""
+        left_s = (worker_ms - self.worker_ms) / 1000
+        return self.read_s + max(0.0, left_s) / SLOWEST_CLOCK
+
+
+class WorkerSession:
+    """Keeps one incarnation of a worker's runs and its own view in step.
+
+    Args:
+        report: The worker.
+        client: Orders to it.
+        owner: The scheduler.
+        lease_s: Seconds of each lease.
+        decisions: The decision log.
+    """
+
+    def __init__(
+        self,
+        report: WorkerReport,
+        client: WorkerClient,
+        owner: Owner,
+        *,
+        lease_s: float,
+        decisions: Decisions,
+    ):
+        self.report = report
+        self.is_listed = True
+        self.running: dict[str, RunningTask] = {}
+        self.is_looked_at = False
+        self.failed_looks = 0
+        self.room_refused_s = float("-inf")
+        self._client = client
+        self._owner = owner
+        self._lease_s = lease_s
+        self._decisions = decisions
+        self._clock: _Clock | None = None
+        self._lapse_s = owner.foreign_lease_s
+        self._acknowledged = 0
+        self._starting: set[str] = set()
+        self._started_s: dict[str, float] = {}
+        self._stops: dict[tuple[str, int], float] = {}
+        self._stopped_s: dict[tuple[str, int], float] = {}
+        self._tasks: anyio.abc.TaskGroup | None = None
+        self._scope = anyio.CancelScope()
+
+    @property
+    def worker(self) -> str:
+        """The worker's name."""
+        return self.report.worker
+
+    @property
+    def is_usable(self) -> bool:
+        """Whether new runs may be started here."""
+        return (
+            self.is_listed
+            and self.is_looked_at
+            and not self.report.is_draining
+            and self.failed_looks < UNREACHABLE_LOOKS
+        )
+
+    async def run(self) -> None:
+        """Looks at the worker until closed or settled after it left."""
+        try:
+            async with anyio.create_task_group() as tasks:
+                self._tasks = tasks
+                with self._scope:
+                    while self.is_listed or self._placed():
+                        await self._look()
+                tasks.cancel_scope.cancel()
+        finally:
+            with anyio.CancelScope(shield=True):
+                await self._client.close()
+
+    def close(self) -> None:
+        """Ends the session."""
+        self._scope.cancel()
+
+    async def start_run(self, task: TaskState, placement: Placement) -> None:
+        """Starts a run that the journal holds."""
+        order = StartOrder(
+            placement.task_id,
+            placement.run,
+            task.unit.job.request.payload,
+            placement.checkpoint,
+        )
+        self._starting.add(placement.task_id)
+        outcome = "started"
+        try:
+            await self._client.start(
+                order, token=self._owner.token, deadline_ms=self._deadline_ms()
+            )
+            self._started_s[placement.task_id] = time.monotonic()
+        except FencedError:
+            self._owner.lose_term(f"worker {self.worker} has a newer token")
+            return
+        except StartRefusal as refusal:
+            outcome = f"refused: {refusal.reason}"
+            if refusal.reason == "room":
+                self.room_refused_s = time.monotonic()
+            end = RunEnd(placement.task_id, placement.run, End.NEVER_STARTED)
+            await self._owner.end_runs([end])
+            self._owner.note_refusal(self, task)
+        except UnavailableError as error:
+            outcome = f"in doubt: {error}"
+            self.failed_looks += 1
+        finally:
+            self._starting.discard(placement.task_id)
+            self._decisions.emit(
+                "run.start",
+                task=placement.task_id,
+                run=placement.run,
+                worker=self.worker,
+                term=self._owner.token,
+                outcome=outcome,
+            )
+
+    def order_stop(self, task_id: str, run: int, cause: str) -> None:
+        """Stops a run, unless that was ordered a moment ago."""
+        key = (task_id, run)
+        now_s = time.monotonic()
+        if self._stops.get(key, 0.0) > now_s or self._tasks is None:
+            return
+        self._stops[key] = now_s + STOP_RETRY_S
+        self._decisions.emit(
+            "run.stop", task=task_id, run=run, worker=self.worker, cause=cause
+        )
+        self._tasks.start_soon(self._stop, task_id, run)
+
+    async def _stop(self, task_id: str, run: int) -> None:
+        try:
+            await self._client.stop(task_id, run, token=self._owner.token)
+        except FencedError:
+            self._owner.lose_term(f"worker {self.worker} has a newer token")
+        except LagoonbeamError:
+            self._stops[task_id, run] = time.monotonic() + LOOK_RETRY_S
+        else:
+            self._stopped_s[task_id, run] = time.monotonic()
+
+    def _placed(self) -> list[TaskState]:
+        return list(self._owner.state.placed.get(self.worker, {}).values())
+
+    def _deadline_ms(self) -> int:
+        """Deadline on the worker's clock for a lease that starts now."""
+        assert self._clock is not None
+        deadline_ms = self._clock.estimate_ms() + int(self._lease_s * 1000)
+        self._lapse_s = max(self._lapse_s, self._clock.passes_s(deadline_ms))
+        return deadline_ms
+
+    def _has_doubt(self) -> bool:
+        return any(
+            task.task_id not in self.running
+            and task.task_id not in self._starting
+            for task in self._placed()
+        )
+
+    async def _look(self) -> None:
+        sent_s = time.monotonic()
+        is_first = self._clock is None
+        wait_s = DOUBT_WAIT_S if self._has_doubt() else LOOK_WAIT_S
+        renews = not is_first and self._owner.may_renew
+        try:
+            view = await self._client.look(
+                token=self._owner.token,
+                acknowledged=self._acknowledged,
+                deadline_ms=self._deadline_ms() if renews else None,
+                wait_s=0.0 if is_first else wait_s,
+            )
+        except FencedError:
+            self._owner.lose_term(f"worker {self.worker} has a newer token")
+            return
+        except LagoonbeamError as error:
+            await self._miss(error)
+            return
+        if self.failed_looks >= UNREACHABLE_LOOKS:
+            self._decisions.emit(
+                "dependency", name=f"worker {self.worker}", state="regained"
+            )
+        self.failed_looks = 0
+        self._clock = _Clock(view.clock_ms, time.monotonic())
+        if is_first:
+            longest_ms = view.clock_ms + self._lease_s * 1000
+            self._lapse_s = self._clock.passes_s(longest_ms)
+        known = self.report.incarnation
+        if known and view.incarnation and view.incarnation != known:
+            await self._end_restarted(view)
+            return
+        await self._take_view(view, sent_s)
+
+    async def _miss(self, error: LagoonbeamError) -> None:
+        self.failed_looks += 1
+        if self.failed_looks == UNREACHABLE_LOOKS:
+            self._decisions.emit(
+                "dependency",
+                name=f"worker {self.worker}",
+                state="lost",
+                cause=str(error),
+            )
+        if time.monotonic() > self._lapse_s:
+            await self._end_lapsed()
+        await anyio.sleep(LOOK_RETRY_S)
+
+    async def _end_lapsed(self) -> None:
+        ends = [
+            RunEnd(
+                task.task_id,
+                task.run,
+                End.LAPSED,
+                self._saved(task.task_id),
+            )
+            for task in self._placed()
+            if task.task_id not in self._starting
+        ]
+        if ends:
+            self._decisions.emit(
+                "worker.lapsed", worker=self.worker, runs=len(ends)
+            )
+            await self._owner.end_runs(ends)
+        self.running.clear()
+
+    async def _end_restarted(self, view: WorkerView) -> None:
+        """Ends the runs of an incarnation that exists no longer."""
+        listed = {task.task_id for task in view.running}
+        self._decisions.emit(
+            "worker.restarted",
+            worker=self.worker,
+            incarnation=view.incarnation,
+            known=self.report.incarnation,
+        )
+        ends = [
+            RunEnd(
+                task.task_id, task.run, End.LAPSED, self._saved(task.task_id)
+            )
+            for task in self._placed()
+            if task.task_id not in self._starting
+            and task.task_id not in listed
+            and task.placement is not None
+            and task.placement.incarnation != view.incarnation
+        ]
+        if ends:
+            await self._owner.end_runs(ends)
+        self.running.clear()
+        self._acknowledged = 0
+        await anyio.sleep(LOOK_RETRY_S)
+
+    def _saved(self, task_id: str) -> str:
+        running = self.running.get(task_id)
+        return running.checkpoint if running is not None else ""
+
+    async def _take_view(self, view: WorkerView, sent_s: float) -> None:
+        self.running = {task.task_id: task for task in view.running}
+        self.is_looked_at = True
+        await self._take_finished(view)
+        ended = {(end.task_id, end.run) for end in view.finished}
+        never: list[RunEnd] = []
+        for task in self._placed():
+            key = (task.task_id, task.run)
+            if (
+                task.task_id in self._starting
+                or task.task_id in self.running
+                or key in ended
+                or self._started_s.get(task.task_id, 0.0) > sent_s
+            ):
+                continue
+            if self._stopped_s.get(key, float("inf")) < sent_s:
+                never.append(RunEnd(*key, End.NEVER_STARTED))
+            else:
+                self.order_stop(*key, "not listed by the worker")
+        if never:
+            await self._owner.end_runs(never)
+            for end in never:
+                task = self._owner.state.tasks.get(end.task_id)
+                if task is not None:
+                    self._owner.note_refusal(self, task)
+        self._stop_unwanted()
+        self._owner.note_view(self)
+
+    async def _take_finished(self, view: WorkerView) -> None:
+        new = [e for e in view.finished if e.number > self._acknowledged]
+        if not new:
+            return
+        tasks = self._owner.state.tasks
+        ends = [
+            RunEnd(end.task_id, end.run, end.end, end.checkpoint)
+            for end in new
+            if (task := tasks.get(end.task_id)) is not None
+            and task.placement is not None
+            and task.placement.worker == self.worker
+            and task.run == end.run
+        ]
+        for end in new:
+            self._decisions.emit(
+                "run.ended",
+                task=end.task_id,
+                run=end.run,
+                worker=self.worker,
+                how=end.end.value,
+            )
+        if ends and not await self._owner.end_runs(ends):
+            return
+        self._acknowledged = max(end.number for end in new)
+
+    def _stop_unwanted(self) -> None:
+        tasks = self._owner.state.tasks
+        for running in self.running.values():
+            task = tasks.get(running.task_id)
+            if task is None:
+                cause = "unknown task"
+            elif task.placement is None or task.run != running.run:
+                cause = "not the task's run"
+            elif task.placement.worker != self.worker:
+                cause = "placed elsewhere"
+            elif not self._owner.is_wanted(task):
+                cause = f"job is {task.unit.job.state.value}"
+            else:
+                continue
+            self.order_stop(running.task_id, running.run, cause)
--- /dev/null
+++ b/lagoonbeam/site/state.py
@@ -0,0 +1,336 @@
+"""The fold of the journal: what every instance knows of all jobs."""
+
+from __future__ import annotations
+
+import functools
+from collections import defaultdict
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+
+from lagoonbeam.site.model import (
+    End,
+    JobRequest,
+    JobState,
+    Step,
+    make_task_id,
+)
+from lagoonbeam.site.records import (
+    InstanceJoined,
+    JobAccepted,
+    JobCancelled,
+    JobFailed,
+    Placement,
+    Record,
+    RunEnd,
+    RunsEnded,
+    RunsPlaced,
+    TermClaimed,
+    TermRenewed,
+    TermResigned,
+)
+
+ENDED_JOBS_KEPT = 4_000
+"""Ended jobs whose state is still told; the oldest are forgotten first."""
+
+
+@dataclass(slots=True)
+class TaskState:
+    """One task of one occurrence.
+
+    Attributes:
+        task_id: Its name.
+        unit: The unit that it is started with.
+        run: Number of its latest start; 0 before the first.
+        placement: Its run that may exist, if any.
+        is_done: Whether a run ended as done.
+    """
+
+    task_id: str
+    unit: UnitState
+    run: int = 0
+    placement: Placement | None = None
+    is_done: bool = False
+
+
+@dataclass(slots=True)
+class UnitState:
+    """Tasks that start and end together: a gang, or one task.
+
+    Attributes:
+        job: The job.
+        occurrence: Number of the occurrence, from 0.
+        step: Number of the step, from 0.
+        tasks: The tasks.
+        failures: Runs that ended as failed; of a gang's run, once.
+        failed_run: Number of the last run that failed.
+        checkpoint: Newest known progress; empty for none.
+        is_done: Whether all its work is done.
+    """
+
+    job: JobEntry
+    occurrence: int
+    step: int
+    tasks: list[TaskState] = field(default_factory=list)
+    failures: int = 0
+    failed_run: int = 0
+    checkpoint: str = ""
+    is_done: bool = False
+
+    @property
+    def spec(self) -> Step:
+        """The step's description."""
+        return self.job.request.steps[self.step]
+
+    @property
+    def key(self) -> str:
+        """Name of the unit: that of its first task."""
+        return self.tasks[0].task_id
+
+    @property
+    def has_runs(self) -> bool:
+        """Whether a run of one of its tasks may exist."""
+        return any(task.placement is not None for task in self.tasks)
+
+    @property
+    def next_run(self) -> int:
+        """Number for the next start, the same for all tasks."""
+        return max(task.run for task in self.tasks) + 1
+
+
+@dataclass(slots=True)
+class JobEntry:
+    """A job and its tasks.
+
+    Attributes:
+        request: What was accepted.
+        units: All units by (occurrence, step).
+        state: Where the job stands.
+        has_started: Whether one of its tasks was ever started.
+        open_units: Units that are not done.
+    """
+
+    request: JobRequest
+    units: dict[tuple[int, int], list[UnitState]] = field(default_factory=dict)
+    state: JobState = JobState.QUEUED
+    has_started: bool = False
+    open_units: int = 0
+
+    @property
+    def is_open(self) -> bool:
+        """Whether the job may still start tasks."""
+        return self.state in (JobState.QUEUED, JobState.RUNNING)
+
+    def all_units(self) -> Iterator[UnitState]:
+        """Yields the units of all steps."""
+        for units in self.units.values():
+            yield from units
+
+    def due_s(self, occurrence: int) -> float:
+        """Wall clock time before which an occurrence must not start."""
+        request = self.request
+        if not request.repeat_count:
+            return 0.0
+        return request.first_due_s + occurrence * request.interval_s
+
+    def is_step_done(self, occurrence: int, step: int) -> bool:
+        """Whether all tasks of a step are done."""
+        return all(unit.is_done for unit in self.units[occurrence, step])
+
+
+def _build_entry(request: JobRequest) -> JobEntry:
+    entry = JobEntry(request)
+    for occurrence in range(max(1, request.repeat_count)):
+        for number, step in enumerate(request.steps):
+            groups = (
+                [range(step.count)]
+                if step.is_gang
+                else [range(index, index + 1) for index in range(step.count)]
+            )
+            units = []
+            for group in groups:
+                unit = UnitState(entry, occurrence, number)
+                unit.tasks = [
+                    TaskState(
+                        make_task_id(request.job_id, occurrence, number, i),
+                        unit,
+                    )
+                    for i in group
+                ]
+                units.append(unit)
+            entry.units[occurrence, number] = units
+            entry.open_units += len(units)
+    return entry
+
+
+@dataclass(slots=True)
+class Term:
+    """Who schedules.
+
+    Attributes:
+        number: The term; also the fencing token of its orders.
+        instance: The instance.
+        incarnation: That life of it.
+        is_resigned: Whether it has stopped by itself.
+    """
+
+    number: int = 0
+    instance: str = ""
+    incarnation: str = ""
+    is_resigned: bool = True
+
+
+class SiteState:
+    """All jobs, runs and instances, folded from the journal."""
+
+    def __init__(self) -> None:
+        self.jobs: dict[str, JobEntry] = {}
+        self.tasks: dict[str, TaskState] = {}
+        self.instances: dict[str, InstanceJoined] = {}
+        self.placed: dict[str, dict[str, TaskState]] = defaultdict(dict)
+        self.term = Term()
+        self._open: dict[str, JobEntry] = {}
+        self._ended: dict[str, None] = {}
+
+    def apply(self, record: Record) -> None:
+        """Takes one record into account."""
+        _apply(record, self)
+
+    def open_jobs(self) -> Iterator[JobEntry]:
+        """Yields jobs that may still start tasks, oldest first."""
+        return iter(list(self._open.values()))
+
+    def add_job(self, job: JobEntry) -> None:
+        """Notes a new job and its tasks."""
+        self.jobs[job.request.job_id] = job
+        self._open[job.request.job_id] = job
+        for unit in job.all_units():
+            self.tasks.update((task.task_id, task) for task in unit.tasks)
+
+    def count_pending(self, queue: str) -> int:
+        """Returns how many open jobs of a queue have not started."""
+        return sum(
+            1
+            for job in self.open_jobs()
+            if job.request.queue.name == queue and not job.has_started
+        )
+
+    def end_job(self, job: JobEntry, state: JobState) -> None:
+        """Gives an open job its final state."""
+        if not job.is_open:
+            return
+        job.state = state
+        del self._open[job.request.job_id]
+        self._ended[job.request.job_id] = None
+        while len(self._ended) > ENDED_JOBS_KEPT:
+            self._forget(next(iter(self._ended)))
+
+    def clear_placement(self, task: TaskState) -> None:
+        """Notes that no run of a task exists."""
+        if task.placement is not None:
+            self.placed[task.placement.worker].pop(task.task_id, None)
+            task.placement = None
+
+    def _forget(self, job_id: str) -> None:
+        del self._ended[job_id]
+        job = self.jobs.pop(job_id, None)
+        if job is None:
+            return
+        for unit in job.all_units():
+            for task in unit.tasks:
+                self.clear_placement(task)
+                self.tasks.pop(task.task_id, None)
+
+
+@functools.singledispatch
+def _apply(record: Record, state: SiteState) -> None:
+    """Takes one record into account; a renewal changes nothing."""
+
+
+@_apply.register
+def _(record: InstanceJoined, state: SiteState) -> None:
+    state.instances[record.instance] = record
+
+
+@_apply.register
+def _(record: JobAccepted, state: SiteState) -> None:
+    request = record.job
+    if request.job_id in state.jobs:
+        return
+    entry = _build_entry(request)
+    state.add_job(entry)
+
+
+@_apply.register
+def _(record: JobCancelled, state: SiteState) -> None:
+    job = state.jobs.get(record.job_id)
+    if job is not None:
+        state.end_job(job, JobState.CANCELLED)
+
+
+@_apply.register
+def _(record: JobFailed, state: SiteState) -> None:
+    job = state.jobs.get(record.job_id)
+    if job is not None:
+        state.end_job(job, JobState.FAILED)
+
+
+@_apply.register
+def _(record: TermClaimed, state: SiteState) -> None:
+    state.term = Term(record.term, record.instance, record.incarnation, False)
+
+
+@_apply.register
+def _(record: TermRenewed, state: SiteState) -> None:
+    del record, state
+
+
+@_apply.register
+def _(record: TermResigned, state: SiteState) -> None:
+    if record.term == state.term.number:
+        state.term.is_resigned = True
+
+
+@_apply.register
+def _(record: RunsPlaced, state: SiteState) -> None:
+    for placement in record.placements:
+        task = state.tasks.get(placement.task_id)
+        if task is None:
+            continue
+        state.clear_placement(task)
+        task.run = placement.run
+        task.placement = placement
+        state.placed[placement.worker][task.task_id] = task
+        job = task.unit.job
+        job.has_started = True
+        if job.state is JobState.QUEUED:
+            job.state = JobState.RUNNING
+
+
+@_apply.register
+def _(record: RunsEnded, state: SiteState) -> None:
+    for end in record.ends:
+        task = state.tasks.get(end.task_id)
+        if task is None or task.placement is None or task.run != end.run:
+            continue
+        _end_run(state, task, end)
+
+
+def _end_run(state: SiteState, task: TaskState, end: RunEnd) -> None:
+    unit = task.unit
+    state.clear_placement(task)
+    if end.checkpoint:
+        unit.checkpoint = end.checkpoint
+    if end.end is End.FAILED and unit.failed_run != end.run:
+        unit.failed_run = end.run if unit.spec.is_gang else 0
+        unit.failures += 1
+    if end.end is not End.DONE or unit.is_done:
+        return
+    for member in unit.tasks:
+        member.is_done = True
+        if unit.spec.is_gang:
+            state.clear_placement(member)
+    unit.is_done = True
+    job = unit.job
+    job.open_units -= 1
+    if job.open_units == 0:
+        state.end_job(job, JobState.COMPLETED)
