Claims of a term are drawn apart; worker connections are reused

The parser answers keep-alive only inside its last callback, so no connection was kept. Ruled out: a wrong 'at' condition (the store answered 200 to both). Change: the first number of a term is random; keep-alive is read in time.

--- a/lagoonbeam/core/http11.py
+++ b/lagoonbeam/core/http11.py
@@ -122,13 +122,13 @@
 
     def on_message_complete(self) -> None:
         self._complete = True
+        self.reusable = self._parser.should_keep_alive()
 
     async def exchange(self, data: bytes) -> Response:
         self._headers, self._body, self._complete = {}, bytearray(), False
         await self._stream.send(data)
         while not self._complete:
             self._parser.feed_data(await self._stream.receive(READ_BYTES))
-        self.reusable = self._parser.should_keep_alive()
         return Response(
             self._parser.get_status_code(), bytes(self._body), self._headers
         )
--- a/lagoonbeam/site/journal.py
+++ b/lagoonbeam/site/journal.py
@@ -43,6 +43,8 @@
 """Seconds to gather records for one append; half a store call."""
 BATCH_RECORDS = 200
 """Most records of one append."""
+FIRST_SEQUENCES = 2**30
+"""Numbers that the first append of a term is drawn from."""
 APPEND_GIVE_UP_S = 12.0
 """Seconds an append of unknown fate is repeated; with the same number it
 has its effect once however often it arrives."""
@@ -326,24 +328,28 @@
     writer_name: str,
     instance: str,
     incarnation: str,
-) -> Writer | None:
+) -> tuple[Writer, int] | None:
     """Tries to become the active scheduler.
 
     The claim is appended only where the follower's copy ends, so the new
     scheduler knows every record of its predecessors.
 
+    The store takes an append with a known writer, epoch and number for a
+    repeat, so the first number is drawn: two claims never look alike.
+
     Returns:
-        The writer to append with, or None if another was first or the
-        store did not answer.
+        The writer and the number of its next append, or None if another
+        was first or the store did not answer.
     """
     term = follower.state.term.number + 1
     writer = Writer(writer_name, term)
     record = TermClaimed(term, instance, incarnation)
+    sequence = secrets.randbelow(FIRST_SEQUENCES)
     try:
         first = await store.append(
             [encode_record(record)],
             writer=writer,
-            sequence=0,
+            sequence=sequence,
             at=follower.offset,
         )
     except (FencedError, OffsetConflictError, SequenceError):
@@ -352,4 +358,4 @@
         return None
     follower.apply_own(first, [record])
     await follower.wait_for(first + 1, READ_WAIT_S)
-    return writer
+    return writer, sequence + 1
--- a/lagoonbeam/site/node.py
+++ b/lagoonbeam/site/node.py
@@ -182,16 +182,17 @@
             await anyio.sleep(jitter(ELECTION_S))
             if not self._should_claim():
                 continue
-            writer = await claim_term(
+            claim = await claim_term(
                 self._store,
                 self.follower,
                 writer_name=SCHEDULER_WRITER,
                 instance=self._address.instance,
                 incarnation=self._incarnation,
             )
-            if writer is None:
+            if claim is None:
                 self._decisions.emit("term.not_claimed")
                 continue
+            writer, sequence = claim
             self._decisions.emit(
                 "term.claimed",
                 term=writer.epoch,
@@ -204,6 +205,7 @@
                 directory=self._directory,
                 connector=self._connector,
                 writer=writer,
+                sequence=sequence,
                 get_configuration=lambda: self.service.configuration,
                 bounds=self._bounds,
                 decisions=self._decisions,
--- a/lagoonbeam/site/scheduler.py
+++ b/lagoonbeam/site/scheduler.py
@@ -103,6 +103,7 @@
         directory: The list of workers.
         connector: Makes clients for workers.
         writer: The term to write with.
+        sequence: Number of its next append.
         get_configuration: Returns the configuration in force.
         bounds: Times that the platform gives.
         decisions: The decision log.
@@ -116,6 +117,7 @@
         directory: WorkerDirectory,
         connector: WorkerConnector,
         writer: Writer,
+        sequence: int,
         get_configuration: Callable[[], Configuration],
         bounds: SchedulerBounds,
         decisions: Decisions,
@@ -131,7 +133,9 @@
         self._get_configuration = get_configuration
         self._bounds = bounds
         self._decisions = decisions
-        self._appender = JournalAppender(store, writer, follower, sequence=1)
+        self._appender = JournalAppender(
+            store, writer, follower, sequence=sequence
+        )
         self._scope = anyio.CancelScope()
         self._wake = anyio.Event()
         self._launching: set[str] = set()
