--- a/lagoonbeam/site/decisions.py
+++ b/lagoonbeam/site/decisions.py
@@ -61,8 +61,7 @@
         handler = NonBlockingHandler()
         handler.setFormatter(
             JsonFormatter(
-                "%(message)s",
-                rename_fields={"message": "event"},
+                "%(levelname)s",
                 static_fields={
                     "instance": instance,
                     "availability_zone": availability_zone,
@@ -88,10 +87,12 @@
         if int(now_s) != self._second:
             self._second, self._lines = int(now_s), 0
             if self.left_out:
-                self._logger.info("log.left_out", extra={"n": self.left_out})
+                self._logger.info(
+                    {"event": "log.left_out", "lines": self.left_out}
+                )
                 self.left_out = 0
         self._lines += 1
         if self._lines > LINES_PER_S and event not in _ALWAYS:
             self.left_out += 1
             return
-        self._logger.info(event, extra={"at_s": round(now_s, 3), **fields})
+        self._logger.info({"event": event, "at_s": round(now_s, 3), **fields})
--- a/lagoonbeam/site/scheduler.py
+++ b/lagoonbeam/site/scheduler.py
@@ -6,6 +6,7 @@
 from collections import defaultdict
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
+from itertools import chain
 
 import anyio
 import anyio.abc
@@ -138,7 +139,7 @@
         )
         self._scope = anyio.CancelScope()
         self._wake = anyio.Event()
-        self._launching: set[str] = set()
+        self._launching: dict[str, Assignment] = {}
         self._reserved: dict[str, _Reserved] = {}
         self._snapshot_s = time.monotonic()
         self._tasks: anyio.abc.TaskGroup | None = None
@@ -315,20 +316,16 @@
                         unit.checkpoint,
                     )
                 )
-            self._launching.add(unit.key)
+            self._launching[unit.key] = assignment
         if placements and self._tasks is not None:
             self._tasks.start_soon(self._launch, placements)
 
     async def _launch(self, placements: list[Placement]) -> None:
-        keys = {
-            self.state.tasks[p.task_id].unit.key
-            for p in placements
-            if p.task_id in self.state.tasks
-        }
-        try:
-            stored = await self._journal([RunsPlaced(tuple(placements))])
-        finally:
-            self._launching -= keys
+        stored = await self._journal([RunsPlaced(tuple(placements))])
+        for placement in placements:
+            task = self.state.tasks.get(placement.task_id)
+            if task is not None:
+                self._launching.pop(task.unit.key, None)
         if not stored or self._tasks is None:
             return
         for placement in placements:
@@ -387,10 +384,13 @@
         for name, room in rooms.items():
             for task in self.state.placed.get(name, {}).values():
                 room.take(task.unit)
-        for reserved in self._reserved.values():
-            for task, worker in reserved.assignment:
-                if worker in rooms:
-                    rooms[worker].take(task.unit)
+        promised = chain(
+            self._launching.values(),
+            (reserved.assignment for reserved in self._reserved.values()),
+        )
+        for task, worker in chain.from_iterable(promised):
+            if worker in rooms:
+                rooms[worker].take(task.unit)
         return rooms
 
     def _drop_reservations(self) -> None:
