Stand-ins of the platform, a site on loopback, promises over real processes

Cause (found by test_lost_answers_of_the_store_double_nothing): after an append was refused without effect the writer still counted as stuck, so an instance refused all work for good once the store had been away. Change: a refused append clears the mark; appends are repeated after 0.3, 0.6 and then every 1.2 s (was 1.2 s at once); a change of the way to the store is one line, not one a call.

--- /dev/null
+++ b/harness/site.py
@@ -0,0 +1,341 @@
+"""Starts a whole site on loopback: the platform's stand-ins and instances.
+
+Each process is ended by its own process id.
+"""
+
+from __future__ import annotations
+
+import json
+import os
+import secrets
+import signal
+import subprocess
+import sys
+import time
+from collections import Counter, defaultdict
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+import httpx
+
+from harness.cluster import find_ports
+
+ROOT = Path(__file__).resolve().parent.parent
+START_TIMEOUT_S = 30.0
+KEY = "key-of-armor"
+HOST = "jobs.example"
+LEASE_MS = 4_000
+PREFIXES = {0: "/checks/", 1: "/renders/", 2: "/batches/"}
+"""Path prefixes of the queues, by priority."""
+
+
+@dataclass
+class SitePlan:
+    """What to start.
+
+    Attributes:
+        instances: Instances.
+        workers: Workers of 8 accelerators.
+        rack: Workers in a rack.
+        is_relayed: Whether the way to the store can be cut by instance.
+    """
+
+    instances: int = 3
+    workers: int = 4
+    rack: int = 2
+    is_relayed: bool = False
+
+
+def make_configuration(version: int, **changes: Any) -> dict[str, Any]:
+    """Returns a configuration with a queue for each priority."""
+    routes = [
+        {
+            "name": f"q{priority}",
+            "host": HOST,
+            "path_prefix": prefix,
+            "priority": priority,
+            "service": "compute",
+            "max_attempts": 2,
+            "stretch": 3.0,
+            "target_latency_ms": 1000,
+        }
+        for priority, prefix in PREFIXES.items()
+    ]
+    tenant = {"name": "armor", "api_keys": [KEY], "guaranteed": {"gpu": 16}}
+    return {
+        "version": version,
+        "routes": routes,
+        "tenants": [tenant],
+        "limits": {},
+        **changes,
+    }
+
+
+def make_step(count: int = 1, gpu: int = 1, **fields: Any) -> dict[str, Any]:
+    """Returns a step as callers send it."""
+    return {"count": count, "cpu": 1000, "mem_mb": 100, "gpu": gpu, **fields}
+
+
+class Site:
+    """Runs the processes of a plan.
+
+    Args:
+        plan: What to start.
+        folder: Where settings and logs of the run go.
+    """
+
+    def __init__(self, plan: SitePlan, folder: Path):
+        self.plan = plan
+        self.folder = folder
+        self.processes: dict[str, subprocess.Popen[bytes]] = {}
+        self.client = httpx.Client(timeout=5.0, trust_env=False)
+        ports = find_ports(6)
+        self.store_port, self.worker_port, self.relay_port = ports[:3]
+        self.front_port, self.ready_port, self.peer_port = ports[3:]
+        self.store = f"http://127.0.0.1:{self.store_port}"
+        self.names = [f"n{number}" for number in range(plan.instances)]
+
+    def __enter__(self) -> Site:
+        try:
+            self.start()
+        except BaseException:
+            self.close()
+            raise
+        return self
+
+    def __exit__(self, *error: object) -> None:
+        self.close()
+
+    def start(self) -> None:
+        """Starts everything and waits until every instance is ready."""
+        port = str(self.store_port)
+        self._run("store", "-m", "standins.platform_store", "--port", port)
+        self._wait(f"{self.store}/standin/counters")
+        if self.plan.is_relayed:
+            port = str(self.relay_port)
+            self._run("relay", "-m", "standins.relay", "--port", port)
+            self._wait(f"http://127.0.0.1:{self.relay_port}/routes")
+        self.publish(make_configuration(1))
+        self._run(
+            "workers",
+            "-m",
+            "standins.platform_worker",
+            *("--port", str(self.worker_port), "--store", self.store),
+            *("--count", str(self.plan.workers)),
+            *("--rack", str(self.plan.rack)),
+        )
+        for name in self.names:
+            self.start_instance(name)
+        for name in self.names:
+            self.wait_ready(name)
+
+    def close(self) -> None:
+        """Ends all processes."""
+        for process in self.processes.values():
+            process.send_signal(signal.SIGCONT)
+            process.kill()
+        for process in self.processes.values():
+            process.wait()
+        self.client.close()
+
+    def publish(self, configuration: dict[str, Any]) -> None:
+        """Publishes a configuration."""
+        self.client.post(
+            f"{self.store}/standin/put?topic=keyed.op&key=config",
+            content=json.dumps(configuration),
+        ).raise_for_status()
+
+    def start_instance(self, name: str) -> None:
+        """Starts one instance."""
+        settings = self.folder / f"{name}.yaml"
+        settings.write_text(json.dumps(self._make_settings(name)))
+        self._run(
+            name,
+            str(ROOT / "platform" / "start.py"),
+            LAGOONBEAM_BOOT=str(settings),
+        )
+
+    def wait_ready(self, name: str) -> None:
+        """Waits until an instance takes callers."""
+        self._wait(f"http://{self.host(name)}:{self.ready_port}/ready")
+
+    def host(self, name: str) -> str:
+        """Returns an instance's IP number."""
+        return f"127.0.4.{int(name[1:]) + 1}"
+
+    def kill(self, name: str) -> None:
+        """Kills a process."""
+        self.processes[name].kill()
+        self.processes[name].wait()
+
+    def signal(self, name: str, number: int) -> None:
+        """Sends a process a signal."""
+        self.processes[name].send_signal(number)
+
+    def call(
+        self,
+        method: str,
+        path: str,
+        *,
+        name: str = "n0",
+        body: Any = None,
+        key: str = KEY,
+    ) -> httpx.Response:
+        """Makes a caller's request at one instance."""
+        return self.client.request(
+            method,
+            f"http://{self.host(name)}:{self.front_port}{path}",
+            headers={"Host": HOST, "Api-Key": key},
+            content=json.dumps(body) if body is not None else None,
+        )
+
+    def submit(
+        self,
+        steps: list[dict[str, Any]],
+        *,
+        spec: dict[str, Any] | None = None,
+        priority: int = 1,
+        name: str = "n0",
+        **fields: Any,
+    ) -> str:
+        """Submits a job and returns its path."""
+        path = PREFIXES[priority] + secrets.token_hex(8)
+        text = json.dumps({"run_s": 0.2, "gpu": 1, **(spec or {})})
+        body = {"spec": text, "steps": steps, **fields}
+        response = self.call("POST", path, name=name, body=body)
+        assert response.status_code == 200, response.text
+        return path
+
+    def wait_state(
+        self,
+        path: str,
+        states: tuple[str, ...] = ("completed",),
+        *,
+        name: str = "n0",
+        timeout_s: float = 20.0,
+    ) -> str:
+        """Waits until a job is in one of some states."""
+        ends_s = time.monotonic() + timeout_s
+        seen = ""
+        while time.monotonic() < ends_s:
+            response = self.call("GET", path, name=name)
+            if response.status_code == 200:
+                seen = response.json()["state"]
+                if seen in states:
+                    return seen
+            time.sleep(0.05)
+        raise TimeoutError(f"{path}: got {seen!r}, expected one of {states}")
+
+    def set_store_faults(self, **faults: Any) -> None:
+        """Switches faults of the store on or off."""
+        self.client.post(f"{self.store}/standin/faults", json=faults)
+
+    def call_worker(self, number: int, what: str, **fields: Any) -> Any:
+        """Calls one worker's stand-in: ``faults``, ``crash``."""
+        url = f"http://127.0.3.{number + 1}:{self.worker_port}/standin/{what}"
+        return self.client.post(url, json=fields).json()
+
+    def cut_store(self, names: list[str], *, freeze: bool = False) -> None:
+        """Cuts instances off from the store; an empty list heals."""
+        cuts = [[name, "store"] for name in names]
+        self.client.post(
+            f"http://127.0.0.1:{self.relay_port}/faults",
+            json={"cuts": cuts, "freeze": freeze},
+        ).raise_for_status()
+
+    def read_history(self) -> list[dict[str, Any]]:
+        """Returns what really ran, as the workers saw it."""
+        url = f"http://127.0.3.1:{self.worker_port}/standin/history"
+        history: list[dict[str, Any]] = self.client.get(url).json()
+        return history
+
+    def read_log(self, name: str) -> list[dict[str, Any]]:
+        """Returns the decisions that an instance wrote."""
+        lines = (self.folder / f"{name}.log").read_text().splitlines()
+        return [json.loads(line) for line in lines if line.startswith("{")]
+
+    def find_active(self) -> str:
+        """Returns the instance that claimed the newest term."""
+        claims = [
+            (line["term"], name)
+            for name in self.names
+            for line in self.read_log(name)
+            if line["event"] == "term.claimed"
+        ]
+        return max(claims)[1]
+
+    def _make_settings(self, name: str) -> dict[str, Any]:
+        host = self.host(name)
+        store = f"127.0.0.1:{self._route(name)}"
+        return {
+            "node_name": name,
+            "ip": host,
+            "zone": "z1",
+            "listen_addrs": {
+                "front": f"{host}:{self.front_port}",
+                "ready": f"{host}:{self.ready_port}",
+            },
+            "internal_ports": [self.peer_port, self.peer_port],
+            "platform": {"address": store, "keep_s": 20},
+            "bounds": {"max_hold_ms": LEASE_MS, "grace_s": 6},
+        }
+
+    def _route(self, name: str) -> int:
+        if not self.plan.is_relayed:
+            return self.store_port
+        response = self.client.post(
+            f"http://127.0.0.1:{self.relay_port}/routes",
+            json={"source": name, "target": "store", "port": self.store_port},
+        )
+        port: int = response.json()["port"]
+        return port
+
+    def _run(self, name: str, *arguments: str, **variables: str) -> None:
+        log = (self.folder / f"{name}.log").open("ab")
+        self.processes[name] = subprocess.Popen(
+            [sys.executable, *arguments],
+            cwd=ROOT,
+            env={**os.environ, **variables},
+            stdout=log,
+            stderr=subprocess.STDOUT,
+        )
+
+    def _wait(self, url: str) -> None:
+        ends_s = time.monotonic() + START_TIMEOUT_S
+        while time.monotonic() < ends_s:
+            try:
+                if self.client.get(url).status_code == 200:
+                    return
+            except httpx.HTTPError:
+                pass
+            time.sleep(0.05)
+        raise TimeoutError(f"{url} did not answer")
+
+
+def find_doubled(history: list[dict[str, Any]]) -> list[str]:
+    """Returns tasks of which two runs overlapped or that ran after done."""
+    present: dict[str, set[int]] = defaultdict(set)
+    done: set[str] = set()
+    doubled = []
+    for event in sorted(history, key=lambda event: event["at_s"]):
+        task, run = event["task"], event["run"]
+        if event["event"] == "started":
+            if present[task] or task in done:
+                doubled.append(task)
+            present[task].add(run)
+            continue
+        present[task].discard(run)
+        if event["event"] == "done":
+            done.add(task)
+    return doubled
+
+
+def count_events(history: list[dict[str, Any]], path: str) -> Counter[str]:
+    """Returns how often each event happened to a job's tasks."""
+    job = path.rsplit("/", 1)[1]
+    return Counter(
+        event["event"]
+        for event in history
+        if event["task"].startswith(f"{job}.")
+    )
--- a/lagoonbeam/site/journal.py
+++ b/lagoonbeam/site/journal.py
@@ -6,7 +6,7 @@
 import time
 from collections.abc import Sequence
 from dataclasses import dataclass, field
-from itertools import chain
+from itertools import chain, repeat
 
 import anyio
 
@@ -45,6 +45,10 @@
 """Most records of one append."""
 FIRST_SEQUENCES = 2**30
 """Numbers that the first append of a term is drawn from."""
+APPEND_TIMEOUTS_S = (0.3, 0.6, 1.2)
+"""Seconds for the first attempts at an append, and for all later ones. The
+store answers in 5 ms, in 0.5 s when it is a hundred times as slow; a repeat
+on a new connection is answered like the first attempt."""
 APPEND_GIVE_UP_S = 12.0
 """Seconds an append of unknown fate is repeated; with the same number it
 has its effect once however often it arrives."""
@@ -291,11 +295,15 @@
         data = [encode_record(record) for record in records]
         started_s = time.monotonic()
         may_exist = False
-        while True:
+        timeouts_s = chain(APPEND_TIMEOUTS_S, repeat(APPEND_TIMEOUTS_S[-1]))
+        for timeout_s in timeouts_s:
             sent_s = time.monotonic()
             try:
                 first = await self._store.append(
-                    data, writer=self._writer, sequence=self._sequence
+                    data,
+                    writer=self._writer,
+                    sequence=self._sequence,
+                    timeout_s=timeout_s,
                 )
             except (FencedError, SequenceError) as error:
                 self.error = batch.error = error
@@ -304,6 +312,7 @@
                 may_exist = may_exist or isinstance(error, AnswerLostError)
                 self.stuck_since_s = self.stuck_since_s or sent_s
                 if not may_exist and not self._writer.epoch:
+                    self.stuck_since_s = None
                     batch.error = LogUnavailableError(error.detail)
                     return
             else:
@@ -350,6 +359,7 @@
             [encode_record(record)],
             writer=writer,
             sequence=sequence,
+            timeout_s=APPEND_TIMEOUTS_S[-1],
             at=follower.offset,
         )
     except (FencedError, OffsetConflictError, SequenceError):
--- a/lagoonbeam/site/ports.py
+++ b/lagoonbeam/site/ports.py
@@ -61,6 +61,7 @@
         *,
         writer: Writer,
         sequence: int,
+        timeout_s: float,
         at: Offset | None = None,
     ) -> Offset:
         """Appends records, all or none.
@@ -70,6 +71,7 @@
             writer: Who appends.
             sequence: The writer's number of this batch; a repeat of a number
                 has its effect once.
+            timeout_s: Seconds until the attempt is given up.
             at: Offset at which the journal must end, if it matters.
 
         Returns:
--- a/lagoonbeam/site/service.py
+++ b/lagoonbeam/site/service.py
@@ -24,7 +24,7 @@
 be visible everywhere after three seconds."""
 RETRY_AFTER_S = 1.0
 """Seconds after which a refused caller is asked to come back."""
-STUCK_S = 0.6
+STUCK_S = 1.0
 """Seconds without the store after which new work is refused at once."""
 
 
--- a/standins/server.py
+++ b/standins/server.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import signal
+from collections.abc import Awaitable, Callable
 
 from hypercorn.asyncio import serve
 from hypercorn.config import Config
@@ -12,8 +13,23 @@
 
 def run_server(application: Starlette, port: int) -> None:
     """Serves on loopback until SIGTERM or SIGINT."""
+    run_servers(application, [f"127.0.0.1:{port}"])
+
+
+def run_servers(
+    application: Starlette,
+    binds: list[str],
+    beside: Callable[[], Awaitable[None]] | None = None,
+) -> None:
+    """Serves on several loopback addresses until SIGTERM or SIGINT.
+
+    Args:
+        application: What to serve.
+        binds: Addresses as ``HOST:PORT``.
+        beside: Runs as long as the server does.
+    """
     config = Config()
-    config.bind = [f"127.0.0.1:{port}"]
+    config.bind = binds
     config.graceful_timeout = 0.2
     config.keep_alive_max_requests = 10_000_000
     config.keep_alive_timeout = 60
@@ -23,6 +39,9 @@
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, ended.set)
+        task = asyncio.ensure_future(beside()) if beside is not None else None
         await serve(application, config, shutdown_trigger=ended.wait)
+        if task is not None:
+            task.cancel()
 
     asyncio.run(main())
--- /dev/null
+++ b/tests/test_site_promises.py
@@ -0,0 +1,281 @@
+"""Promises of the site scheduler over real processes and stand-ins."""
+
+from __future__ import annotations
+
+import signal
+import time
+from collections.abc import Callable, Iterator
+from pathlib import Path
+
+import pytest
+
+from harness.site import (
+    PREFIXES,
+    Site,
+    SitePlan,
+    count_events,
+    find_doubled,
+    make_configuration,
+    make_step,
+)
+
+
+@pytest.fixture(scope="module")
+def site(tmp_path_factory: pytest.TempPathFactory) -> Iterator[Site]:
+    folder: Path = tmp_path_factory.mktemp("site")
+    with Site(SitePlan(is_relayed=True), folder) as running:
+        yield running
+
+
+@pytest.fixture(autouse=True)
+def healed(site: Site) -> Iterator[None]:
+    yield
+    site.set_store_faults(status=0, silent=False, delay_s=0.0, lose_answers=0)
+    site.cut_store([])
+    for name in site.names:
+        if site.processes[name].poll() is not None:
+            site.start_instance(name)
+    for name in site.names:
+        site.wait_ready(name)
+    history = site.read_history()
+    assert not find_doubled(history)
+
+
+def wait_until(check: Callable[[], bool], timeout_s: float = 15.0) -> None:
+    ends_s = time.monotonic() + timeout_s
+    while not check():
+        assert time.monotonic() < ends_s, "not in time"
+        time.sleep(0.05)
+
+
+def count_started(site: Site, path: str) -> int:
+    return count_events(site.read_history(), path)["started"]
+
+
+def test_steps_run_in_order(site: Site) -> None:
+    path = site.submit([make_step(3), make_step(2, after=[0])])
+    assert site.wait_state(path, name="n1") == "completed"
+    events = [
+        event
+        for event in site.read_history()
+        if event["task"].startswith(path.rsplit("/", 1)[1])
+    ]
+    last_first = max(
+        e["at_s"] for e in events if ".0.0." in e["task"] and e["event"] == "done"
+    )
+    second = [
+        e["at_s"]
+        for e in events
+        if ".0.1." in e["task"] and e["event"] == "started"
+    ]
+    assert len(second) == 2
+    assert min(second) >= last_first
+
+
+def test_gang_runs_whole_over_workers(site: Site) -> None:
+    path = site.submit(
+        [make_step(4, gpu=4, gang=True)], spec={"members": 4, "gpu": 4}
+    )
+    assert site.wait_state(path) == "completed"
+    assert count_events(site.read_history(), path)["alone"] == 0
+
+
+def test_repeated_submission_is_one_job(site: Site) -> None:
+    path = site.submit([make_step()])
+    body = {"spec": '{"run_s": 0.2}', "steps": [make_step()]}
+    for name in site.names:
+        assert site.call("POST", path, name=name, body=body).status_code == 200
+    site.wait_state(path)
+    assert count_started(site, path) == 1
+
+
+def test_cancelled_job_is_stopped(site: Site) -> None:
+    path = site.submit([make_step(2)], spec={"run_s": 60})
+    wait_until(lambda: count_started(site, path) == 2)
+    assert site.call("DELETE", path, name="n2").status_code == 200
+    wait_until(
+        lambda: count_events(site.read_history(), path)["stopped"] == 2, 4.0
+    )
+    assert site.wait_state(path, ("cancelled",)) == "cancelled"
+
+
+def test_hopeless_job_fails_after_its_attempts(site: Site) -> None:
+    path = site.submit([make_step()], spec={"fail": True})
+    assert site.wait_state(path, ("failed",)) == "failed"
+    assert count_started(site, path) == 2
+
+
+def test_urgent_job_takes_lent_room(site: Site) -> None:
+    lent = site.submit([make_step(4, gpu=8)], spec={"run_s": 8, "gpu": 8})
+    wait_until(lambda: count_started(site, lent) == 4)
+    urgent = site.submit(
+        [make_step(2, gpu=8, gang=True)],
+        spec={"members": 2, "gpu": 8},
+        priority=0,
+    )
+    site.wait_state(urgent, timeout_s=3.4)
+    assert count_events(site.read_history(), lent)["stopped"] == 2
+    site.call("DELETE", lent)
+
+
+def test_unknown_job_queue_and_key(site: Site) -> None:
+    job = PREFIXES[0] + "0123456789abcdef"
+    assert site.call("GET", job).status_code == 410
+    assert site.call("GET", "/nothing/" + "0" * 16).status_code == 404
+    assert site.call("GET", job, key="wrong").status_code == 401
+    response = site.call("POST", job, body={"spec": 3})
+    assert response.status_code == 400
+
+
+def test_malformed_worker_entry_hurts_no_other(site: Site) -> None:
+    for data in (b"\xff\x00", b'{"service": 3}', b"[]"):
+        site.client.post(
+            f"{site.store}/standin/put?topic=keyed.servers&key=bad",
+            content=data,
+        )
+    site.wait_state(site.submit([make_step()]))
+    site.client.post(f"{site.store}/standin/put?topic=keyed.servers&key=bad")
+
+
+def test_configuration_is_in_force_on_all(site: Site) -> None:
+    routes = make_configuration(2)["routes"]
+    added = {**routes[0], "name": "new", "path_prefix": "/added/"}
+    site.publish(make_configuration(2, routes=[*routes, added]))
+
+    def is_everywhere() -> bool:
+        return all(
+            site.call("GET", "/added/", name=name).status_code == 200
+            for name in site.names
+        )
+
+    wait_until(is_everywhere, 2.0)
+    assert site.call("GET", "/added/").json() == {"pending": 0}
+
+
+def test_kill_of_the_active_instance_adopts_its_runs(site: Site) -> None:
+    path = site.submit([make_step(3)], spec={"run_s": 5})
+    wait_until(lambda: count_started(site, path) == 3)
+    active = site.find_active()
+    site.kill(active)
+    survivor = next(name for name in site.names if name != active)
+    assert site.wait_state(path, name=survivor) == "completed"
+    assert count_started(site, path) == 3
+
+
+def test_planned_stop_hands_the_term_over_at_once(site: Site) -> None:
+    active = site.find_active()
+    site.signal(active, signal.SIGTERM)
+    site.processes[active].wait(6)
+    wait_until(lambda: site.find_active() != active, 1.5)
+
+
+def test_frozen_active_instance_starts_nothing_when_it_wakes(
+    site: Site,
+) -> None:
+    active = site.find_active()
+    path = site.submit([make_step(3)], spec={"run_s": 3})
+    wait_until(lambda: count_started(site, path) == 3)
+    site.signal(active, signal.SIGSTOP)
+    wait_until(lambda: site.find_active() != active)
+    survivor = next(name for name in site.names if name != active)
+    more = site.submit([make_step(3)], name=survivor)
+    site.signal(active, signal.SIGCONT)
+    site.wait_state(more, name=survivor)
+    site.wait_state(path, name=survivor)
+    assert count_started(site, path) == 3
+
+
+def test_power_loss_of_all_loses_no_accepted_job(site: Site) -> None:
+    path = site.submit([make_step(2)], spec={"run_s": 1.0})
+    for name in site.names:
+        site.kill(name)
+    for name in site.names:
+        site.start_instance(name)
+    for name in site.names:
+        site.wait_ready(name)
+    assert site.wait_state(path) == "completed"
+
+
+def test_store_outage_refuses_truly_and_lets_work_run(site: Site) -> None:
+    running = site.submit([make_step(2)], spec={"run_s": 2.0})
+    wait_until(lambda: count_started(site, running) == 2)
+    site.set_store_faults(status=503)
+    time.sleep(0.3)
+    path = PREFIXES[1] + "feedfeedfeedfeed"
+    body = {"spec": '{"run_s": 0.1}', "steps": [make_step()]}
+    response = site.call("POST", path, body=body)
+    assert response.status_code == 503
+    assert int(response.headers["Retry-After"]) >= 1
+    time.sleep(2.0)
+    site.set_store_faults(status=0)
+    assert site.wait_state(running) == "completed"
+    wait_until(lambda: site.call("GET", path).status_code == 410)
+    assert count_started(site, running) == 2
+    assert count_started(site, path) == 0
+
+
+def test_lost_answers_of_the_store_double_nothing(site: Site) -> None:
+    site.set_store_faults(lose_answers=0.3)
+    paths = []
+    for number in range(6):
+        path = PREFIXES[1] + f"{number:016x}"
+        body = {"spec": '{"run_s": 0.2}', "steps": [make_step(2)]}
+        statuses = []
+        while 200 not in statuses and len(statuses) < 8:
+            name = site.names[number % 3]
+            response = site.call("POST", path, body=body, name=name)
+            statuses.append(response.status_code)
+        assert 200 in statuses
+        paths.append(path)
+    site.set_store_faults(lose_answers=0)
+    for path in paths:
+        site.wait_state(path)
+        assert count_started(site, path) == 2
+
+
+def test_instance_cut_from_the_store_serves_through_peers(site: Site) -> None:
+    active = site.find_active()
+    site.cut_store([active])
+    time.sleep(0.5)
+    path = site.submit([make_step(2)], name=active)
+    assert site.wait_state(path, name=active) == "completed"
+
+
+def test_silent_store_connection_is_replaced(site: Site) -> None:
+    site.cut_store(site.names, freeze=True)
+    path = site.submit([make_step()], name="n1")
+    assert site.wait_state(path, name="n1") == "completed"
+
+
+def test_worker_crash_restarts_its_runs_elsewhere(site: Site) -> None:
+    path = site.submit([make_step(4)], spec={"run_s": 1.5})
+    wait_until(lambda: count_started(site, path) == 4)
+    crashed = int(site.read_history()[-1]["worker"][1:])
+    site.call_worker(crashed, "crash")
+    assert site.wait_state(path) == "completed"
+
+
+def test_start_carried_out_late_is_never_doubled(site: Site) -> None:
+    for number in range(2):
+        site.call_worker(number, "faults", late_s=2.5)
+    paths = [site.submit([make_step(4)], spec={"run_s": 1.0}) for _ in "ab"]
+    time.sleep(4.0)
+    for number in range(2):
+        site.call_worker(number, "faults", late_s=0.0)
+    for path in paths:
+        site.wait_state(path)
+    assert not find_doubled(site.read_history())
+
+
+def test_compacted_journal_is_restored_from_the_snapshot(site: Site) -> None:
+    path = site.submit([make_step()])
+    site.wait_state(path)
+    time.sleep(6.0)
+    site.set_store_faults(keep_records=5)
+    other = site.submit([make_step()])
+    site.wait_state(other)
+    site.kill("n2")
+    site.start_instance("n2")
+    site.wait_ready("n2")
+    assert site.wait_state(path, name="n2") == "completed"
+    site.set_store_faults(keep_records=1_000_000)
