Less work thrown away: room for urgent work, order by what can be earned

Ruled out: late orders; the worker listed all runs it had. Change: a placed run is expected until its order is answered; less urgent work spreads over 85 % (priority 1) and 70 % (2) of the workers, fixed racks first; victims cost their unsaved work; jobs are ordered by what they still earn; a unit waits two run times for a place at full speed.

--- a/lagoonbeam/site/placement.py
+++ b/lagoonbeam/site/placement.py
@@ -145,6 +145,7 @@
             room.accelerators % step.accelerators if step.accelerators else 0,
             room.accelerators,
             room.cpu_millis,
+            room.report.rack,
         ),
     )
     waiting = list(unit.tasks)
--- a/lagoonbeam/site/scheduler.py
+++ b/lagoonbeam/site/scheduler.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import time
 from collections import defaultdict
 from collections.abc import Callable, Sequence
@@ -13,6 +14,7 @@
 
 from lagoonbeam.errors import LagoonbeamError, LogUncertainError
 from lagoonbeam.site.decisions import Decisions
+from lagoonbeam.site.durations import Durations, Earning
 from lagoonbeam.site.guarantees import find_covered
 from lagoonbeam.site.journal import JournalAppender, JournalFollower
 from lagoonbeam.site.model import (
@@ -65,8 +67,12 @@
 """Seconds without the store for which an active scheduler renews leases."""
 PLACED_AT_ONCE = 40
 """Most tasks placed in one plan, so that a plan stays short."""
-FAR_AFTER_S = 1.5
-"""Seconds that a unit waits for a place where it runs at full speed."""
+FAR_AFTER_RUNS = 2.0
+"""Run times that a unit waits for a place where it runs at full speed; away
+from it, it takes three times as long."""
+LENT_SHARES = {1: 0.85, 2: 0.7}
+"""Part of the workers that work of a priority may be spread over, so that
+urgent work finds whole workers free; lower priorities have the last one."""
 EVICTION_S = 2.0
 """Seconds that room is kept for a unit after its victims were stopped."""
 SNAPSHOT_SHARE = 0.25
@@ -141,6 +147,7 @@
         self._wake = anyio.Event()
         self._launching: dict[str, Assignment] = {}
         self._reserved: dict[str, _Reserved] = {}
+        self._durations = Durations()
         self._snapshot_s = time.monotonic()
         self._tasks: anyio.abc.TaskGroup | None = None
 
@@ -195,6 +202,10 @@
         self._stop_unit(task.unit, f"a start at {session.worker} was refused")
         self._wake.set()
 
+    def note_done(self, task: TaskState, run_s: float) -> None:
+        """Learns from a run that was started in this term and is done."""
+        self._durations.note(task.unit.job.request.queue.name, run_s)
+
     def is_wanted(self, task: TaskState) -> bool:
         """Whether a task's run should go on."""
         return task.unit.job.is_open
@@ -316,6 +327,7 @@
                         unit.checkpoint,
                     )
                 )
+                self.sessions[worker].expect_run(task.task_id)
             self._launching[unit.key] = assignment
         if placements and self._tasks is not None:
             self._tasks.start_soon(self._launch, placements)
@@ -326,18 +338,19 @@
             task = self.state.tasks.get(placement.task_id)
             if task is not None:
                 self._launching.pop(task.unit.key, None)
-        if not stored or self._tasks is None:
-            return
         for placement in placements:
             task = self.state.tasks.get(placement.task_id)
             session = self.sessions.get(placement.worker)
+            if session is None or self._tasks is None:
+                continue
             if (
-                task is None
+                not stored
+                or task is None
                 or task.placement != placement
-                or session is None
                 or not task.unit.job.is_open
                 or session.report.incarnation != placement.incarnation
             ):
+                session.forget_run(placement.task_id)
                 continue
             self._tasks.start_soon(session.start_run, task, placement)
 
@@ -365,11 +378,17 @@
     def _order(
         self, units: list[UnitState], covered: set[str]
     ) -> list[UnitState]:
-        def rank(unit: UnitState) -> tuple[bool, int, float]:
+        now_s = time.time()
+
+        def rank(unit: UnitState) -> tuple[bool, bool, int, Earning, float]:
             job = unit.job
+            policy = self._policy(job)
+            earning = self._durations.get_earning(unit, policy, now_s)
             return (
                 job.request.job_id not in covered,
-                self._policy(job).priority,
+                earning is Earning.NOTHING,
+                policy.priority,
+                earning,
                 max(job.request.accepted_at_s, job.due_s(unit.occurrence)),
             )
 
@@ -420,10 +439,14 @@
         waited_s = now_s - max(
             unit.job.request.accepted_at_s, unit.job.due_s(unit.occurrence)
         )
-        allow_far = waited_s > FAR_AFTER_S or not could_be_near(
+        patience_s = FAR_AFTER_RUNS * self._durations.estimate_s(unit)
+        allow_far = waited_s > patience_s or not could_be_near(
             unit, (room.report for room in usable.values())
         )
-        assignment = place_unit(unit, usable, allow_far=allow_far)
+        lending = usable
+        if policy.priority > 0:
+            lending = self._limit_lending(usable, policy.priority)
+        assignment = place_unit(unit, lending, allow_far=allow_far)
         if assignment is not None:
             return assignment
         if reserved is not None:
@@ -435,6 +458,25 @@
             self._evict(unit, usable, allow_far)
         return None
 
+    def _limit_lending(self, rooms: Rooms, priority: int) -> Rooms:
+        """Returns the workers that less urgent work may use.
+
+        Workers that run such work already come first, then whole racks in a
+        fixed order, so that the rest stays free for urgent work.
+        """
+        share = LENT_SHARES.get(priority, LENT_SHARES[max(LENT_SHARES)])
+        most = math.ceil(share * len(rooms))
+        lent = self._find_lent()
+        by_use = sorted(
+            rooms,
+            key=lambda name: (
+                not lent.get(name),
+                rooms[name].report.rack,
+                name,
+            ),
+        )
+        return {name: rooms[name] for name in by_use[:most]}
+
     def _evict(self, unit: UnitState, rooms: Rooms, allow_far: bool) -> None:
         eviction = find_eviction(
             unit, rooms, self._find_lent(), self._cost, allow_far=allow_far
@@ -468,8 +510,13 @@
         """Core-seconds thrown away by stopping a unit now."""
         step = unit.spec
         cores = step.cpu_millis / 1000 + ACCELERATOR_CORES * step.accelerators
-        lost_s = 1.0 if step.is_checkpointing else 5.0
-        return cores * lost_s * len(unit.tasks)
+        lost_s = sum(
+            session.get_lost_s(task)
+            for task in unit.tasks
+            if task.placement is not None
+            and (session := self.sessions.get(task.placement.worker))
+        )
+        return cores * lost_s
 
     def _stop_unit(self, unit: UnitState, cause: str) -> None:
         for task in unit.tasks:
--- a/lagoonbeam/site/session.py
+++ b/lagoonbeam/site/session.py
@@ -27,6 +27,9 @@
 """Seconds after which a stop is ordered again; longer than a stop takes."""
 SLOWEST_CLOCK = 0.98
 """Rate of the slowest worker clock, as the platform states."""
+CHECKPOINT_LOSS_S = 1.2
+"""Seconds lost by stopping a run that saves its progress: half an interval
+of one second, and the time to restore."""
 UNREACHABLE_LOOKS = 2
 """Failed looks in a row after which a worker gets no new runs."""
 
@@ -51,6 +54,9 @@
     def note_refusal(self, session: WorkerSession, task: TaskState) -> None:
         """Gives up the rest of a unit after a refused start."""
 
+    def note_done(self, task: TaskState, run_s: float) -> None:
+        """Learns from a run that was started here and is done."""
+
     def is_wanted(self, task: TaskState) -> bool:
         """Whether a task's run should go on."""
 
@@ -111,6 +117,7 @@
         self._acknowledged = 0
         self._starting: set[str] = set()
         self._started_s: dict[str, float] = {}
+        self._opened_s = time.monotonic()
         self._stops: dict[tuple[str, int], float] = {}
         self._stopped_s: dict[tuple[str, int], float] = {}
         self._tasks: anyio.abc.TaskGroup | None = None
@@ -148,6 +155,22 @@
         """Ends the session."""
         self._scope.cancel()
 
+    def expect_run(self, task_id: str) -> None:
+        """Notes that a run is being journaled and will be started."""
+        self._starting.add(task_id)
+
+    def forget_run(self, task_id: str) -> None:
+        """Notes that an expected run will not be started."""
+        self._starting.discard(task_id)
+
+    def get_lost_s(self, task: TaskState) -> float:
+        """Returns the seconds of work that a stop of a run throws away."""
+        started_s = self._started_s.get(task.task_id, self._opened_s)
+        elapsed_s = time.monotonic() - started_s
+        if not task.unit.spec.is_checkpointing:
+            return elapsed_s
+        return min(elapsed_s, CHECKPOINT_LOSS_S)
+
     async def start_run(self, task: TaskState, placement: Placement) -> None:
         """Starts a run that the journal holds."""
         order = StartOrder(
@@ -156,7 +179,6 @@
             task.unit.job.request.payload,
             placement.checkpoint,
         )
-        self._starting.add(placement.task_id)
         outcome = "started"
         try:
             await self._client.start(
@@ -361,6 +383,10 @@
             and task.run == end.run
         ]
         for end in new:
+            started_s = self._started_s.pop(end.task_id, None)
+            task = tasks.get(end.task_id)
+            if end.end is End.DONE and started_s is not None and task:
+                self._owner.note_done(task, time.monotonic() - started_s)
             self._decisions.emit(
                 "run.ended",
                 task=end.task_id,
