--- a/lagoonbeam/core/http11.py
+++ b/lagoonbeam/core/http11.py
@@ -393,7 +393,9 @@
     ) -> None:
         reason = REASONS.get(response.status, "Status")
         lines = [f"HTTP/1.1 {response.status} {reason}"]
-        lines += [f"{name}: {value}" for name, value in response.headers.items()]
+        lines += [
+            f"{name}: {value}" for name, value in response.headers.items()
+        ]
         if response.body:
             lines.append("Content-Type: application/json")
         lines.append(f"Content-Length: {len(response.body)}")
--- a/lagoonbeam/site/guarantees.py
+++ b/lagoonbeam/site/guarantees.py
@@ -11,9 +11,7 @@
 
 def count_accelerators(job: JobEntry) -> int:
     """Returns the accelerators of a job's largest step."""
-    return max(
-        step.count * step.accelerators for step in job.request.steps
-    )
+    return max(step.count * step.accelerators for step in job.request.steps)
 
 
 def find_covered(
--- a/lagoonbeam/site/journal.py
+++ b/lagoonbeam/site/journal.py
@@ -15,8 +15,8 @@
     FencedError,
     LagoonbeamError,
     LogTruncatedError,
-    LogUncertainError,
     LogUnavailableError,
+    LogUncertainError,
     MalformedAnswerError,
     OffsetConflictError,
     SequenceError,
@@ -37,6 +37,9 @@
 
 READ_WAIT_S = 1.0
 """Seconds one read waits for a record; bounds the age of what is known."""
+ACTIVE_READ_WAIT_S = 0.25
+"""Seconds that the active scheduler's reads wait; a store that forgets its
+history wakes no waiting reader for a second, but answers new ones."""
 RETRY_S = 0.1
 """Seconds between two attempts at the store, before jitter."""
 LINGER_S = 0.002
@@ -79,6 +82,7 @@
         self.term_seen_s = float("-inf")
         self.first_synced_s = float("inf")
         self.snapshot_offset: Offset = 0
+        self.read_wait_s = READ_WAIT_S
 
     @property
     def age_s(self) -> float:
@@ -90,7 +94,9 @@
         await self._restore()
         while True:
             try:
-                page = await self._store.read(self.offset, wait_s=READ_WAIT_S)
+                page = await self._store.read(
+                    self.offset, wait_s=self.read_wait_s
+                )
             except LogTruncatedError:
                 self._decisions.emit("journal.truncated", offset=self.offset)
                 await self._restore()
@@ -155,9 +161,7 @@
                 self.state = decode_state(snapshot.data)
                 self.offset = snapshot.offset
                 self.snapshot_offset = snapshot.offset
-                self._decisions.emit(
-                    "snapshot.loaded", offset=self.offset
-                )
+                self._decisions.emit("snapshot.loaded", offset=self.offset)
             elif self.offset:
                 await anyio.sleep(jitter(RETRY_S))
             return
--- a/lagoonbeam/site/node.py
+++ b/lagoonbeam/site/node.py
@@ -13,6 +13,8 @@
 from lagoonbeam.errors import LagoonbeamError
 from lagoonbeam.site.decisions import Decisions
 from lagoonbeam.site.journal import (
+    ACTIVE_READ_WAIT_S,
+    READ_WAIT_S,
     JournalAppender,
     JournalFollower,
     claim_term,
@@ -210,7 +212,9 @@
                 bounds=self._bounds,
                 decisions=self._decisions,
             )
+            self.follower.read_wait_s = ACTIVE_READ_WAIT_S
             try:
                 await self._scheduler.run()
             finally:
+                self.follower.read_wait_s = READ_WAIT_S
                 self._scheduler = None
--- /dev/null
+++ b/lagoonbeam/site/planner.py
@@ -0,0 +1,412 @@
+"""One plan: which ready units start where, and what is stopped for them."""
+
+from __future__ import annotations
+
+import math
+import time
+from collections import defaultdict
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, field
+from itertools import chain
+
+from lagoonbeam.site.decisions import Decisions
+from lagoonbeam.site.durations import Durations, Earning
+from lagoonbeam.site.guarantees import find_covered
+from lagoonbeam.site.model import Configuration, QueuePolicy
+from lagoonbeam.site.placement import (
+    ACCELERATOR_CORES,
+    Assignment,
+    Room,
+    Rooms,
+    could_be_near,
+    find_eviction,
+    is_suited,
+    make_room,
+    place_unit,
+    step_key,
+)
+from lagoonbeam.site.session import WorkerSession
+from lagoonbeam.site.state import JobEntry, SiteState, UnitState
+
+PLACED_AT_ONCE = 40
+"""Most units placed in one plan, so that a plan stays short."""
+PLAN_BUDGET_S = 0.03
+"""Seconds after which a plan leaves the rest to the next one; the loop must
+not pause for 50 ms."""
+FAR_AFTER_RUNS = 2.0
+"""Run times that a unit waits for a place where it runs at full speed; away
+from it, it takes three times as long."""
+KEPT_FREE = {1: 0.1, 2: 0.2}
+"""Part of the workers that work of a priority leaves free for urgent work,
+beside those that urgent work uses; lower priorities leave the last one."""
+EVICTION_S = 2.0
+"""Seconds that room is kept for a unit after its victims were stopped."""
+
+
+@dataclass(slots=True)
+class Plan:
+    """What to do.
+
+    Attributes:
+        starts: Units and where their tasks go.
+        stops: Units to stop, each with the unit that needs the room.
+        is_cut_short: Whether units were left for the next plan.
+    """
+
+    starts: list[tuple[UnitState, Assignment]] = field(default_factory=list)
+    stops: list[tuple[UnitState, UnitState]] = field(default_factory=list)
+    is_cut_short: bool = False
+
+
+@dataclass(slots=True)
+class _Reserved:
+    """Room kept for a unit whose victims are being stopped."""
+
+    unit: UnitState
+    assignment: Assignment
+    until_s: float
+
+
+class Planner:
+    """Makes plans; keeps what lasts from one to the next.
+
+    Args:
+        decisions: The decision log.
+    """
+
+    def __init__(self, decisions: Decisions):
+        self.durations = Durations()
+        self.launching: dict[str, Assignment] = {}
+        self.reserved: dict[str, _Reserved] = {}
+        self.decisions = decisions
+        self._waiting: dict[str, int] = {}
+
+    def make_plan(
+        self,
+        state: SiteState,
+        sessions: Mapping[str, WorkerSession],
+        configuration: Configuration,
+    ) -> Plan:
+        """Decides what starts now.
+
+        Args:
+            state: The state in force.
+            sessions: All workers' sessions by name.
+            configuration: The configuration in force.
+        """
+        now_s = time.monotonic()
+        self.reserved = {
+            key: reserved
+            for key, reserved in self.reserved.items()
+            if reserved.until_s > now_s
+            and reserved.unit.job.is_open
+            and not reserved.unit.has_runs
+        }
+        return _Pass(self, state, sessions, configuration).run()
+
+    def note_waiting(self, unit: UnitState, **inputs: object) -> None:
+        """Writes once for each start why a unit could not be placed."""
+        if self._waiting.get(unit.key) == unit.next_run:
+            return
+        self._waiting[unit.key] = unit.next_run
+        step = unit.spec
+        self.decisions.emit(
+            "unit.waits",
+            task=unit.key,
+            run=unit.next_run,
+            tasks=len(unit.tasks),
+            accelerators=step.accelerators,
+            is_gang=step.is_gang,
+            is_one_rack=step.is_one_rack,
+            data_rack=step.data_rack,
+            **inputs,
+        )
+
+
+class _Pass:
+    """The making of one plan."""
+
+    def __init__(
+        self,
+        planner: Planner,
+        state: SiteState,
+        sessions: Mapping[str, WorkerSession],
+        configuration: Configuration,
+    ):
+        self._planner = planner
+        self._state = state
+        self._sessions = sessions
+        self._configuration = configuration
+        self._now_s = time.time()
+        self._policies: dict[str, QueuePolicy] = {}
+        self._earnings: dict[tuple[str, int, int], Earning] = {}
+        self._full: set[tuple[object, ...]] = set()
+        self._lent: dict[str, dict[str, UnitState]] = defaultdict(dict)
+        self._urgent_accelerators: dict[str, int] = defaultdict(int)
+        self._kept: dict[int, set[str]] = defaultdict(set)
+        self._rooms = self._measure_rooms()
+        self._by_service: dict[str, Rooms] = defaultdict(dict)
+        for name, room in self._rooms.items():
+            self._by_service[room.report.service][name] = room
+        self._lending: dict[tuple[str, int], Rooms] = {}
+        self._near: dict[tuple[str, int, int], bool] = {}
+        self._plan = Plan()
+
+    def run(self) -> Plan:
+        """Returns the plan."""
+        ends_s = time.monotonic() + PLAN_BUDGET_S
+        for unit in self._order(self._find_ready()):
+            if (
+                len(self._plan.starts) >= PLACED_AT_ONCE
+                or time.monotonic() > ends_s
+            ):
+                self._plan.is_cut_short = True
+                break
+            shape = self._shape(unit)
+            if shape in self._full:
+                continue
+            assignment = self._place(unit)
+            if assignment is None:
+                self._full.add(shape)
+                continue
+            for _, worker in assignment:
+                self._rooms[worker].take(unit)
+            self._plan.starts.append((unit, assignment))
+            self._planner.launching[unit.key] = assignment
+        return self._plan
+
+    def _policy(self, job: JobEntry) -> QueuePolicy:
+        """The policy in force for a job, or that of its acceptance."""
+        accepted = job.request.queue
+        policy = self._policies.get(accepted.name)
+        if policy is None:
+            found = self._configuration.find_policy(accepted.name)
+            policy = self._policies[accepted.name] = found or accepted
+        return policy
+
+    def _shape(self, unit: UnitState) -> tuple[object, ...]:
+        """Identifies units that fit in the same places."""
+        if unit.key in self._planner.reserved or len(unit.tasks) > 1:
+            return (unit.key,)
+        return (*step_key(unit),)
+
+    def _find_ready(self) -> list[UnitState]:
+        launching = self._planner.launching
+        ready: list[UnitState] = []
+        for job in self._state.open_jobs():
+            for (occurrence, step), units in job.units.items():
+                if job.due_s(occurrence) > self._now_s:
+                    continue
+                before = job.request.steps[step].after
+                if not all(job.is_step_done(occurrence, n) for n in before):
+                    continue
+                ready += (
+                    unit
+                    for unit in units
+                    if not unit.is_done
+                    and not unit.has_runs
+                    and unit.key not in launching
+                )
+        return ready
+
+    def _get_earning(self, unit: UnitState) -> Earning:
+        key = step_key(unit)
+        if key not in self._earnings:
+            self._earnings[key] = self._planner.durations.get_earning(
+                unit, self._policy(unit.job), self._now_s
+            )
+        return self._earnings[key]
+
+    def _order(self, units: list[UnitState]) -> list[UnitState]:
+        covered = find_covered(
+            self._state.open_jobs(),
+            self._configuration.organisations,
+            self._policy,
+        )
+
+        def rank(unit: UnitState) -> tuple[bool, bool, int, Earning, float]:
+            job = unit.job
+            earning = self._get_earning(unit)
+            return (
+                job.request.job_id not in covered,
+                earning is Earning.NOTHING,
+                self._policy(job).priority,
+                earning,
+                max(job.request.accepted_at_s, job.due_s(unit.occurrence)),
+            )
+
+        return sorted(units, key=rank)
+
+    def _measure_rooms(self) -> Rooms:
+        rooms = {
+            name: make_room(session.report)
+            for name, session in self._sessions.items()
+            if session.is_usable
+        }
+        for name, room in rooms.items():
+            for task in self._state.placed.get(name, {}).values():
+                unit = task.unit
+                room.take(unit)
+                policy = self._policy(unit.job)
+                if policy.priority > 0:
+                    self._lent[name][unit.key] = unit
+                else:
+                    used = self._urgent_accelerators
+                    used[policy.service] += unit.spec.accelerators
+        promised = chain(
+            self._planner.launching.values(),
+            (r.assignment for r in self._planner.reserved.values()),
+        )
+        for task, worker in chain.from_iterable(promised):
+            if worker in rooms:
+                rooms[worker].take(task.unit)
+        return rooms
+
+    def _place(self, unit: UnitState) -> Assignment | None:
+        policy = self._policy(unit.job)
+        usable = self._by_service[policy.service]
+        reserved = self._planner.reserved.pop(unit.key, None)
+        if reserved is not None:
+            self._take(reserved.assignment, -1)
+        allow_far = self._may_be_far(unit, usable)
+        rooms = usable
+        if policy.priority > 0:
+            rooms = self._limit_lending(policy)
+        assignment = place_unit(unit, rooms, allow_far=allow_far)
+        if assignment is not None:
+            return assignment
+        if reserved is not None:
+            self._take(reserved.assignment, 1)
+            self._planner.reserved[unit.key] = reserved
+        elif policy.priority == 0:
+            self._evict(unit, usable, allow_far)
+        elif unit.spec.is_gang and self._get_earning(unit) is Earning.FULL:
+            self._keep_for(unit, policy, rooms)
+        self._planner.note_waiting(
+            unit,
+            priority=policy.priority,
+            may_be_far=allow_far,
+            workers=len(rooms),
+            free_accelerators=sum(r.accelerators for r in rooms.values()),
+            evicting=unit.key in self._planner.reserved,
+        )
+        return None
+
+    def _take(self, assignment: Assignment, count: int) -> None:
+        for task, worker in assignment:
+            if worker in self._rooms:
+                self._rooms[worker].take(task.unit, count)
+
+    def _may_be_far(self, unit: UnitState, rooms: Rooms) -> bool:
+        since_s = max(
+            unit.job.request.accepted_at_s, unit.job.due_s(unit.occurrence)
+        )
+        run_s = self._planner.durations.estimate_s(unit)
+        if self._now_s - since_s > FAR_AFTER_RUNS * run_s:
+            return True
+        key = step_key(unit)
+        if key not in self._near:
+            reports = [room.report for room in rooms.values()]
+            self._near[key] = could_be_near(unit, reports)
+        return not self._near[key]
+
+    def _limit_lending(self, policy: QueuePolicy) -> Rooms:
+        """Returns the workers that less urgent work may use.
+
+        Workers that run such work already come first, then whole racks in a
+        fixed order, so that the rest stays free for urgent work.
+        """
+        key = (policy.service, policy.priority)
+        if key not in self._lending:
+            rooms = self._by_service[policy.service]
+            share = KEPT_FREE.get(policy.priority, KEPT_FREE[max(KEPT_FREE)])
+            sizes = [room.report.accelerators for room in rooms.values()]
+            urgent = self._urgent_accelerators[policy.service]
+            used = urgent / max(1, max(sizes, default=1))
+            most = max(1, math.floor((1 - share) * len(rooms) - used))
+            by_use = sorted(
+                rooms,
+                key=lambda name: (
+                    not self._lent.get(name),
+                    rooms[name].report.rack,
+                    name,
+                ),
+            )
+            self._lending[key] = {name: rooms[name] for name in by_use[:most]}
+        kept = set(
+            chain.from_iterable(
+                names
+                for priority, names in self._kept.items()
+                if priority < policy.priority
+            )
+        )
+        rooms = self._lending[key]
+        if not kept:
+            return rooms
+        return {name: room for name, room in rooms.items() if name not in kept}
+
+    def _keep_for(
+        self, unit: UnitState, policy: QueuePolicy, rooms: Rooms
+    ) -> None:
+        """Keeps a rack from less urgent work for the first waiting gang."""
+        kept = self._kept[policy.priority]
+        if kept:
+            return
+        racks: dict[str, list[Room]] = defaultdict(list)
+        for room in rooms.values():
+            if is_suited(room.report, unit.spec):
+                racks[room.report.rack].append(room)
+        if racks:
+            count = len(unit.tasks)
+            best = max(
+                racks.values(),
+                key=lambda rack: sum(
+                    r.count_fitting(unit, count) for r in rack
+                ),
+            )
+            kept.update(room.report.worker for room in best)
+
+    def _evict(self, unit: UnitState, rooms: Rooms, allow_far: bool) -> None:
+        lent = {
+            worker: list(units.values()) for worker, units in self._lent.items()
+        }
+        eviction = find_eviction(
+            unit, rooms, lent, self._make_cost(), allow_far=allow_far
+        )
+        if eviction is None:
+            return
+        self._planner.reserved[unit.key] = _Reserved(
+            unit, eviction.assignment, time.monotonic() + EVICTION_S
+        )
+        self._take(eviction.assignment, 1)
+        for victim in eviction.victims:
+            self._plan.stops.append((victim, unit))
+            for task in victim.tasks:
+                if task.placement is not None:
+                    self._lent[task.placement.worker].pop(victim.key, None)
+        self._planner.decisions.emit(
+            "unit.evicts",
+            task=unit.key,
+            victims=[victim.key for victim in eviction.victims],
+            lost_core_s=round(eviction.cost, 1),
+        )
+
+    def _make_cost(self) -> Callable[[UnitState], float]:
+        costs: dict[str, float] = {}
+
+        def get_cost(unit: UnitState) -> float:
+            """Core-seconds thrown away by stopping a unit now."""
+            if unit.key not in costs:
+                step = unit.spec
+                cores = step.cpu_millis / 1000
+                cores += ACCELERATOR_CORES * step.accelerators
+                lost_s = sum(
+                    session.get_lost_s(task)
+                    for task in unit.tasks
+                    if task.placement is not None
+                    and (session := self._sessions.get(task.placement.worker))
+                )
+                costs[unit.key] = cores * lost_s
+            return costs[unit.key]
+
+        return get_cost
--- a/lagoonbeam/site/scheduler.py
+++ b/lagoonbeam/site/scheduler.py
@@ -2,20 +2,15 @@
 
 from __future__ import annotations
 
-import math
 import time
-from collections import defaultdict
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
-from itertools import chain
 
 import anyio
 import anyio.abc
 
 from lagoonbeam.errors import LagoonbeamError, LogUncertainError
 from lagoonbeam.site.decisions import Decisions
-from lagoonbeam.site.durations import Durations, Earning
-from lagoonbeam.site.guarantees import find_covered
 from lagoonbeam.site.journal import JournalAppender, JournalFollower
 from lagoonbeam.site.model import (
     Configuration,
@@ -24,17 +19,7 @@
     QueuePolicy,
     WorkerReport,
 )
-from lagoonbeam.site.placement import (
-    ACCELERATOR_CORES,
-    Assignment,
-    Eviction,
-    Room,
-    Rooms,
-    could_be_near,
-    find_eviction,
-    make_room,
-    place_unit,
-)
+from lagoonbeam.site.planner import Planner
 from lagoonbeam.site.ports import (
     JournalStore,
     WorkerConnector,
@@ -65,16 +50,8 @@
 """Seconds to wait for the journal; the runs concerned stay as they are."""
 AUTHORITY_S = 8.0
 """Seconds without the store for which an active scheduler renews leases."""
-PLACED_AT_ONCE = 40
-"""Most tasks placed in one plan, so that a plan stays short."""
-FAR_AFTER_RUNS = 2.0
-"""Run times that a unit waits for a place where it runs at full speed; away
-from it, it takes three times as long."""
-LENT_SHARES = {1: 0.85, 2: 0.7}
-"""Part of the workers that work of a priority may be spread over, so that
-urgent work finds whole workers free; lower priorities have the last one."""
-EVICTION_S = 2.0
-"""Seconds that room is kept for a unit after its victims were stopped."""
+PLAN_PAUSE_S = 0.01
+"""Shortest time between two plans; what comes in between is planned once."""
 SNAPSHOT_SHARE = 0.25
 """Part of the store's history after which a snapshot is written."""
 
@@ -92,15 +69,6 @@
     history_s: float
 
 
-@dataclass(slots=True)
-class _Reserved:
-    """Room kept for a unit whose victims are being stopped."""
-
-    unit: UnitState
-    assignment: Assignment
-    until_s: float
-
-
 class Scheduler:
     """Schedules while its term lasts.
 
@@ -145,9 +113,7 @@
         )
         self._scope = anyio.CancelScope()
         self._wake = anyio.Event()
-        self._launching: dict[str, Assignment] = {}
-        self._reserved: dict[str, _Reserved] = {}
-        self._durations = Durations()
+        self._planner = Planner(decisions)
         self._snapshot_s = time.monotonic()
         self._tasks: anyio.abc.TaskGroup | None = None
 
@@ -193,8 +159,8 @@
         records: list[Record] = [RunsEnded(tuple(ends))]
         return await self._journal(records)
 
-    def note_view(self, session: WorkerSession) -> None:
-        """Plans again after a look."""
+    def note_usable(self, session: WorkerSession) -> None:
+        """Plans again after a worker became usable."""
         self._wake.set()
 
     def note_refusal(self, session: WorkerSession, task: TaskState) -> None:
@@ -204,7 +170,7 @@
 
     def note_done(self, task: TaskState, run_s: float) -> None:
         """Learns from a run that was started in this term and is done."""
-        self._durations.note(task.unit.job.request.queue.name, run_s)
+        self._planner.durations.note(task.unit.job.request.queue.name, run_s)
 
     def is_wanted(self, task: TaskState) -> bool:
         """Whether a task's run should go on."""
@@ -293,51 +259,43 @@
             with anyio.move_on_after(PLAN_S):
                 await self._wake.wait()
             self._wake = anyio.Event()
-            await self._plan()
-
-    async def _plan(self) -> None:
-        await self._end_lost_workers()
-        await self._fail_jobs()
-        now_s = time.time()
-        self._drop_reservations()
-        rooms = self._measure_rooms()
-        covered = find_covered(
-            self.state.open_jobs(),
-            self._get_configuration().organisations,
-            self._policy,
+            await self._end_lost_workers()
+            await self._fail_jobs()
+            self._plan()
+            await anyio.sleep(PLAN_PAUSE_S)
+
+    def _plan(self) -> None:
+        plan = self._planner.make_plan(
+            self.state, self.sessions, self._get_configuration()
         )
+        for victim, unit in plan.stops:
+            self._stop_unit(victim, f"room for {unit.key}")
         placements: list[Placement] = []
-        for unit in self._order(self._find_ready(now_s), covered):
-            if len(placements) >= PLACED_AT_ONCE:
-                self._wake.set()
-                break
-            assignment = self._place(unit, rooms, now_s)
-            if assignment is None:
-                continue
+        for unit, assignment in plan.starts:
             run = unit.next_run
             for task, worker in assignment:
-                rooms[worker].take(unit)
-                report = self.sessions[worker].report
+                session = self.sessions[worker]
+                session.expect_run(task.task_id)
                 placements.append(
                     Placement(
                         task.task_id,
                         run,
                         worker,
-                        report.incarnation,
+                        session.report.incarnation,
                         unit.checkpoint,
                     )
                 )
-                self.sessions[worker].expect_run(task.task_id)
-            self._launching[unit.key] = assignment
         if placements and self._tasks is not None:
             self._tasks.start_soon(self._launch, placements)
+        if plan.is_cut_short:
+            self._wake.set()
 
     async def _launch(self, placements: list[Placement]) -> None:
         stored = await self._journal([RunsPlaced(tuple(placements))])
         for placement in placements:
             task = self.state.tasks.get(placement.task_id)
             if task is not None:
-                self._launching.pop(task.unit.key, None)
+                self._planner.launching.pop(task.unit.key, None)
         for placement in placements:
             task = self.state.tasks.get(placement.task_id)
             session = self.sessions.get(placement.worker)
@@ -359,165 +317,6 @@
         policy = job.request.queue
         return self._get_configuration().find_policy(policy.name) or policy
 
-    def _find_ready(self, now_s: float) -> list[UnitState]:
-        return [
-            unit
-            for job in self.state.open_jobs()
-            for (occurrence, step), units in job.units.items()
-            if job.due_s(occurrence) <= now_s
-            and all(
-                job.is_step_done(occurrence, before)
-                for before in job.request.steps[step].after
-            )
-            for unit in units
-            if not unit.is_done
-            and not unit.has_runs
-            and unit.key not in self._launching
-        ]
-
-    def _order(
-        self, units: list[UnitState], covered: set[str]
-    ) -> list[UnitState]:
-        now_s = time.time()
-
-        def rank(unit: UnitState) -> tuple[bool, bool, int, Earning, float]:
-            job = unit.job
-            policy = self._policy(job)
-            earning = self._durations.get_earning(unit, policy, now_s)
-            return (
-                job.request.job_id not in covered,
-                earning is Earning.NOTHING,
-                policy.priority,
-                earning,
-                max(job.request.accepted_at_s, job.due_s(unit.occurrence)),
-            )
-
-        return sorted(units, key=rank)
-
-    def _measure_rooms(self) -> Rooms:
-        rooms = {
-            name: make_room(session.report)
-            for name, session in self.sessions.items()
-            if session.is_usable
-        }
-        for name, room in rooms.items():
-            for task in self.state.placed.get(name, {}).values():
-                room.take(task.unit)
-        promised = chain(
-            self._launching.values(),
-            (reserved.assignment for reserved in self._reserved.values()),
-        )
-        for task, worker in chain.from_iterable(promised):
-            if worker in rooms:
-                rooms[worker].take(task.unit)
-        return rooms
-
-    def _drop_reservations(self) -> None:
-        now_s = time.monotonic()
-        self._reserved = {
-            key: reserved
-            for key, reserved in self._reserved.items()
-            if reserved.until_s > now_s
-            and reserved.unit.job.is_open
-            and not reserved.unit.has_runs
-        }
-
-    def _place(
-        self, unit: UnitState, rooms: Rooms, now_s: float
-    ) -> Assignment | None:
-        policy = self._policy(unit.job)
-        usable = {
-            name: room
-            for name, room in rooms.items()
-            if room.report.service == policy.service
-        }
-        reserved = self._reserved.pop(unit.key, None)
-        if reserved is not None:
-            for task, worker in reserved.assignment:
-                if worker in rooms:
-                    rooms[worker].take(task.unit, -1)
-        waited_s = now_s - max(
-            unit.job.request.accepted_at_s, unit.job.due_s(unit.occurrence)
-        )
-        patience_s = FAR_AFTER_RUNS * self._durations.estimate_s(unit)
-        allow_far = waited_s > patience_s or not could_be_near(
-            unit, (room.report for room in usable.values())
-        )
-        lending = usable
-        if policy.priority > 0:
-            lending = self._limit_lending(usable, policy.priority)
-        assignment = place_unit(unit, lending, allow_far=allow_far)
-        if assignment is not None:
-            return assignment
-        if reserved is not None:
-            for task, worker in reserved.assignment:
-                if worker in rooms:
-                    rooms[worker].take(task.unit)
-            self._reserved[unit.key] = reserved
-        elif policy.priority == 0:
-            self._evict(unit, usable, allow_far)
-        return None
-
-    def _limit_lending(self, rooms: Rooms, priority: int) -> Rooms:
-        """Returns the workers that less urgent work may use.
-
-        Workers that run such work already come first, then whole racks in a
-        fixed order, so that the rest stays free for urgent work.
-        """
-        share = LENT_SHARES.get(priority, LENT_SHARES[max(LENT_SHARES)])
-        most = math.ceil(share * len(rooms))
-        lent = self._find_lent()
-        by_use = sorted(
-            rooms,
-            key=lambda name: (
-                not lent.get(name),
-                rooms[name].report.rack,
-                name,
-            ),
-        )
-        return {name: rooms[name] for name in by_use[:most]}
-
-    def _evict(self, unit: UnitState, rooms: Rooms, allow_far: bool) -> None:
-        eviction = find_eviction(
-            unit, rooms, self._find_lent(), self._cost, allow_far=allow_far
-        )
-        if eviction is None:
-            return
-        self._reserve(unit, eviction, rooms)
-        for victim in eviction.victims:
-            self._stop_unit(victim, f"room for {unit.key}")
-
-    def _reserve(
-        self, unit: UnitState, eviction: Eviction, rooms: dict[str, Room]
-    ) -> None:
-        self._reserved[unit.key] = _Reserved(
-            unit, eviction.assignment, time.monotonic() + EVICTION_S
-        )
-        for _, worker in eviction.assignment:
-            rooms[worker].take(unit)
-
-    def _find_lent(self) -> dict[str, list[UnitState]]:
-        """Units that may be stopped for work of priority 0, by worker."""
-        lent: dict[str, dict[str, UnitState]] = defaultdict(dict)
-        for worker, tasks in self.state.placed.items():
-            for task in tasks.values():
-                unit = task.unit
-                if self._policy(unit.job).priority > 0:
-                    lent[worker][unit.key] = unit
-        return {worker: list(units.values()) for worker, units in lent.items()}
-
-    def _cost(self, unit: UnitState) -> float:
-        """Core-seconds thrown away by stopping a unit now."""
-        step = unit.spec
-        cores = step.cpu_millis / 1000 + ACCELERATOR_CORES * step.accelerators
-        lost_s = sum(
-            session.get_lost_s(task)
-            for task in unit.tasks
-            if task.placement is not None
-            and (session := self.sessions.get(task.placement.worker))
-        )
-        return cores * lost_s
-
     def _stop_unit(self, unit: UnitState, cause: str) -> None:
         for task in unit.tasks:
             placement = task.placement
--- a/lagoonbeam/site/service.py
+++ b/lagoonbeam/site/service.py
@@ -97,6 +97,11 @@
             job=request.job_id,
             queue=request.queue.name,
             organisation=request.organisation,
+            priority=request.queue.priority,
+            shapes=[
+                f"{s.count}x{s.accelerators}{' gang' if s.is_gang else ''}"
+                for s in request.steps
+            ],
             version=self.configuration.version,
         )
 
--- a/lagoonbeam/site/session.py
+++ b/lagoonbeam/site/session.py
@@ -37,19 +37,25 @@
 class Owner(Protocol):
     """What a session needs of its scheduler."""
 
-    state: SiteState
     token: int
-    may_renew: bool
     foreign_lease_s: float
 
+    @property
+    def state(self) -> SiteState:
+        """The state in force."""
+
+    @property
+    def may_renew(self) -> bool:
+        """Whether leases may still be renewed."""
+
     async def end_runs(self, ends: Sequence[RunEnd]) -> bool:
         """Journals ends; returns whether they are stored."""
 
     def lose_term(self, cause: str) -> None:
         """Stops scheduling: a newer term exists."""
 
-    def note_view(self, session: WorkerSession) -> None:
-        """Plans again after a look."""
+    def note_usable(self, session: WorkerSession) -> None:
+        """Plans again after a worker became usable."""
 
     def note_refusal(self, session: WorkerSession, task: TaskState) -> None:
         """Gives up the rest of a unit after a refused start."""
@@ -270,6 +276,7 @@
             self._decisions.emit(
                 "dependency", name=f"worker {self.worker}", state="regained"
             )
+            self._owner.note_usable(self)
         self.failed_looks = 0
         self._clock = _Clock(view.clock_ms, time.monotonic())
         if is_first:
@@ -343,7 +350,9 @@
 
     async def _take_view(self, view: WorkerView, sent_s: float) -> None:
         self.running = {task.task_id: task for task in view.running}
-        self.is_looked_at = True
+        if not self.is_looked_at:
+            self.is_looked_at = True
+            self._owner.note_usable(self)
         await self._take_finished(view)
         ended = {(end.task_id, end.run) for end in view.finished}
         never: list[RunEnd] = []
@@ -367,7 +376,6 @@
                 if task is not None:
                     self._owner.note_refusal(self, task)
         self._stop_unwanted()
-        self._owner.note_view(self)
 
     async def _take_finished(self, view: WorkerView) -> None:
         new = [e for e in view.finished if e.number > self._acknowledged]
@@ -384,9 +392,9 @@
         ]
         for end in new:
             started_s = self._started_s.pop(end.task_id, None)
-            task = tasks.get(end.task_id)
-            if end.end is End.DONE and started_s is not None and task:
-                self._owner.note_done(task, time.monotonic() - started_s)
+            done = tasks.get(end.task_id) if end.end is End.DONE else None
+            if done is not None and started_s is not None:
+                self._owner.note_done(done, time.monotonic() - started_s)
             self._decisions.emit(
                 "run.ended",
                 task=end.task_id,
@@ -404,6 +412,8 @@
             task = tasks.get(running.task_id)
             if task is None:
                 cause = "unknown task"
+            elif task.is_done and task.run == running.run:
+                continue
             elif task.placement is None or task.run != running.run:
                 cause = "not the task's run"
             elif task.placement.worker != self.worker:
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -12,6 +12,7 @@
 import asyncio
 import base64
 import collections
+import contextlib
 import dataclasses
 import random
 import struct
@@ -164,9 +165,7 @@
         if seq in producer.answers:
             return JSONResponse(producer.answers[seq])
         if seq != producer.seq + 1:
-            return JSONResponse(
-                {"reason": "seq", "seq": producer.seq + 1}, 409
-            )
+            return JSONResponse({"reason": "seq", "seq": producer.seq + 1}, 409)
         return None
 
     async def read(self, request: Request) -> Response:
@@ -179,10 +178,8 @@
         first = int(query["from"])
         wait_s = int(query.get("wait_ms", "0")) / 1000
         if first >= topic.end and wait_s:
-            try:
+            with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(topic.grown.wait(), wait_s)
-            except TimeoutError:
-                pass
             if (fault := await self._meet_faults()) is not None:
                 return fault
         if first < topic.first:
--- a/standins/platform_worker.py
+++ b/standins/platform_worker.py
@@ -14,7 +14,7 @@
 import dataclasses
 import json
 import time
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from typing import Any
 
 import httpx
@@ -56,6 +56,11 @@
     stop_at_s: float = 0.0
     resumed: str = ""
 
+    @property
+    def saved(self) -> str:
+        """Newest checkpoint; empty for a task that saves none."""
+        return f"{self.done_s:.3f}" if self.spec.get("saves") else ""
+
     @property
     def gang(self) -> tuple[str, int]:
         """Identifies the run's gang."""
@@ -104,8 +109,7 @@
         """Ends a run."""
         del self.runs[run.task]
         self.count += 1
-        saved = f"{run.done_s:.3f}" if run.spec.get("saves") else ""
-        self.ends.append((self.count, run.task, run.run, how, saved))
+        self.ends.append((self.count, run.task, run.run, how, run.saved))
         self.highest[run.task] = max(self.highest.get(run.task, 0), run.run)
         self.fleet.note(self, run, how)
 
@@ -225,7 +229,9 @@
             return self._stop(worker, body)
         return await self._hold(worker, body)
 
-    def _answer(self, worker: Worker, status: int = 200, **more: Any) -> Response:
+    def _answer(
+        self, worker: Worker, status: int = 200, **more: Any
+    ) -> Response:
         fields = {"clock_ms": worker.clock_ms, "born": worker.born, **more}
         return JSONResponse(fields, status)
 
@@ -265,16 +271,19 @@
         return self._answer(worker)
 
     async def _hold(self, worker: Worker, body: dict[str, Any]) -> Response:
-        worker.deadline_ms = max(
-            worker.deadline_ms, body.get("deadline_ms", 0)
-        )
+        worker.deadline_ms = max(worker.deadline_ms, body.get("deadline_ms", 0))
         cursor = body["ack_cursor"]
         worker.ends = [end for end in worker.ends if end[0] > cursor]
         until_s = time.time() + body.get("wait_ms", 0) / 1000
         while not worker.ends and time.time() < until_s:
             await asyncio.sleep(_TICK_S)
         running = [
-            [run.task, run.run, f"{run.done_s:.3f}" if run.spec.get("saves") else "", 50]
+            [
+                run.task,
+                run.run,
+                f"{run.done_s:.3f}" if run.spec.get("saves") else "",
+                50,
+            ]
             for run in worker.runs.values()
         ]
         return self._answer(worker, running=running, finished=worker.ends)
--- a/tests/test_site_promises.py
+++ b/tests/test_site_promises.py
@@ -61,7 +61,9 @@
         if event["task"].startswith(path.rsplit("/", 1)[1])
     ]
     last_first = max(
-        e["at_s"] for e in events if ".0.0." in e["task"] and e["event"] == "done"
+        e["at_s"]
+        for e in events
+        if ".0.0." in e["task"] and e["event"] == "done"
     )
     second = [
         e["at_s"]
