Metrics, the story of one job, unit tests, the on-call page

Change: counters and histograms by prometheus-client on the metrics address; decisions carry their inputs (shapes, free room, victims, attempts); 'lagoonbeam explain' tells one job's story from saved logs, 'lagoonbeam top' shows a deployment; docs/OPERATIONS.md.

--- a/lagoonbeam/commands/client.py
+++ b/lagoonbeam/commands/client.py
@@ -11,8 +11,10 @@
 import typer
 
 from lagoonbeam.commands.entry_client import EntryClient
+from lagoonbeam.commands.explain import explain
 from lagoonbeam.commands.running import EXIT_FAILED, EXIT_USAGE, read_settings
 from lagoonbeam.commands.tables import print_rows
+from lagoonbeam.commands.top import top
 from lagoonbeam.core.rules import RulesDocument, decode_rules
 from lagoonbeam.core.settings import Settings, Text, Token, get_secret
 from lagoonbeam.errors import RulesInvalidError, SettingsError
@@ -29,6 +31,8 @@
 rules = typer.Typer(no_args_is_help=True, help="Check and publish rules.")
 program.add_typer(jobs, name="jobs")
 program.add_typer(rules, name="rules")
+program.command("explain")(explain)
+program.command("top")(top)
 
 SettingsOption = Annotated[
     Path,
--- a/lagoonbeam/site/decisions.py
+++ b/lagoonbeam/site/decisions.py
@@ -13,12 +13,25 @@
 
 from pythonjsonlogger.json import JsonFormatter
 
+from lagoonbeam.site.metrics import Metrics
+
 LINES_PER_S = 200
 """Lines of one process a second before like lines are left out."""
-
-_ALWAYS = frozenset(
-    {"job.accepted", "job.ended", "term.claimed", "term.lost", "dependency"}
+ALWAYS_WRITTEN = frozenset(
+    {
+        "dependency",
+        "instance.drain",
+        "instance.start",
+        "instance.stop",
+        "job.accepted",
+        "job.cancelled",
+        "job.ended",
+        "settings.reload",
+        "term.claimed",
+        "term.lost",
+    }
 )
+"""Events that no budget leaves out."""
 
 
 class NonBlockingHandler(logging.Handler):
@@ -26,39 +39,47 @@
 
     Args:
         descriptor: The file descriptor; it is set to non-blocking.
+        metrics: Counts what is dropped.
     """
 
-    def __init__(self, descriptor: int = 1):
+    def __init__(self, descriptor: int, metrics: Metrics):
         super().__init__()
         self._descriptor = descriptor
-        os.set_blocking(descriptor, False)
-        self.dropped = 0
+        self._metrics = metrics
         self._rest = b""
+        os.set_blocking(descriptor, False)
 
     def emit(self, record: logging.LogRecord) -> None:
-        """Writes one line."""
+        """Writes one line, after the rest of one that was cut."""
         line = self._rest + self.format(record).encode() + b"\n"
         try:
             written = os.write(self._descriptor, line)
-        except BlockingIOError:
-            self.dropped += 1
-            return
         except OSError:
-            self.dropped += 1
+            self._metrics.lines_dropped.inc()
             return
         self._rest = line[written:]
 
 
 class Decisions:
-    """Writes decisions of one process.
+    """Writes and counts the decisions of one process.
 
     Args:
         instance: Name of the instance, on each line.
         availability_zone: Its zone, on each line.
+        metrics: Counts each decision.
+        descriptor: Where lines go; standard output by default.
     """
 
-    def __init__(self, instance: str, availability_zone: str):
-        handler = NonBlockingHandler()
+    def __init__(
+        self,
+        instance: str,
+        availability_zone: str,
+        *,
+        metrics: Metrics | None = None,
+        descriptor: int = 1,
+    ):
+        self.metrics = metrics or Metrics()
+        handler = NonBlockingHandler(descriptor, self.metrics)
         handler.setFormatter(
             JsonFormatter(
                 "%(levelname)s",
@@ -74,7 +95,7 @@
         self._logger = logging.getLogger("lagoonbeam.decisions")
         self._second = 0
         self._lines = 0
-        self.left_out = 0
+        self._left_out = 0
 
     def emit(self, event: str, **fields: Any) -> None:
         """Writes one line.
@@ -83,16 +104,18 @@
             event: What was decided, as ``noun.verb``.
             fields: Inputs that decided it, their age, and the outcome.
         """
+        self.metrics.decisions.labels(event).inc()
         now_s = time.monotonic()
         if int(now_s) != self._second:
             self._second, self._lines = int(now_s), 0
-            if self.left_out:
+            if self._left_out:
                 self._logger.info(
-                    {"event": "log.left_out", "lines": self.left_out}
+                    {"event": "log.left_out", "lines": self._left_out}
                 )
-                self.left_out = 0
+                self._left_out = 0
         self._lines += 1
-        if self._lines > LINES_PER_S and event not in _ALWAYS:
-            self.left_out += 1
+        if self._lines > LINES_PER_S and event not in ALWAYS_WRITTEN:
+            self._left_out += 1
+            self.metrics.lines_left_out.inc()
             return
         self._logger.info({"event": event, "at_s": round(now_s, 3), **fields})
--- a/lagoonbeam/site/journal.py
+++ b/lagoonbeam/site/journal.py
@@ -232,7 +232,7 @@
         self._batch = _Batch()
         self._wake = anyio.Event()
         self.confirmed_s = time.monotonic()
-        self.stuck_since_s: float | None = None
+        self._sending_since_s: float | None = None
         self.error: LagoonbeamError | None = None
 
     async def append(
@@ -272,9 +272,9 @@
         Raises:
             LogUnavailableError: If the store has not answered for so long.
         """
-        if self.stuck_since_s is None:
+        if self._sending_since_s is None:
             return
-        stuck_s = time.monotonic() - self.stuck_since_s
+        stuck_s = time.monotonic() - self._sending_since_s
         if stuck_s > longest_s:
             raise LogUnavailableError(
                 f"the store has not answered for {stuck_s:.1f} s",
@@ -289,7 +289,9 @@
             self._wake = anyio.Event()
             batch, self._batch = self._batch, _Batch()
             if batch.requests:
+                self._sending_since_s = time.monotonic()
                 await self._append_batch(batch)
+                self._sending_since_s = None
                 batch.done.set()
         self._batch.error = self.error
         self._batch.done.set()
@@ -314,14 +316,11 @@
                 return
             except UnavailableError as error:
                 may_exist = may_exist or isinstance(error, AnswerLostError)
-                self.stuck_since_s = self.stuck_since_s or sent_s
                 if not may_exist and not self._writer.epoch:
-                    self.stuck_since_s = None
                     batch.error = LogUnavailableError(error.detail)
                     return
             else:
                 self._sequence += 1
-                self.stuck_since_s = None
                 self.confirmed_s = sent_s
                 batch.end = first + len(records)
                 self._follower.apply_own(first, records)
--- /dev/null
+++ b/lagoonbeam/site/metrics.py
@@ -0,0 +1,86 @@
+"""Counters, gauges and latency histograms of one instance, as text.
+
+``docs/OPERATIONS.md`` lists names and units; a test holds the two together.
+"""
+
+from __future__ import annotations
+
+import anyio
+from prometheus_client import (
+    CollectorRegistry,
+    Counter,
+    Gauge,
+    Histogram,
+    generate_latest,
+)
+
+LATENCY_BUCKETS_S = (0.01, 0.03, 0.1, 0.3, 1.0, 3.0, 10.0, 30.0)
+"""Upper bounds of the latency histograms, in seconds."""
+LOOP_LOOK_S = 0.1
+"""Seconds between two measurements of the loop's delay."""
+
+
+class Metrics:
+    """What an instance counts."""
+
+    def __init__(self) -> None:
+        registry = self.registry = CollectorRegistry(auto_describe=False)
+
+        def counter(name: str, text: str, *labels: str) -> Counter:
+            return Counter(
+                f"lagoonbeam_{name}", text, labels, registry=registry
+            )
+
+        def gauge(name: str, text: str) -> Gauge:
+            return Gauge(f"lagoonbeam_{name}", text, registry=registry)
+
+        def histogram(name: str, text: str) -> Histogram:
+            return Histogram(
+                f"lagoonbeam_{name}",
+                text,
+                registry=registry,
+                buckets=LATENCY_BUCKETS_S,
+            )
+
+        self.decisions = counter("decisions", "Decisions by event.", "event")
+        self.requests = counter(
+            "requests", "Callers' requests by status.", "method", "status"
+        )
+        self.store_calls = counter(
+            "store_calls", "Store calls by route and result.", "route", "result"
+        )
+        self.starts = counter("starts", "Start orders by outcome.", "outcome")
+        self.ends = counter("ends", "Runs that ended, by how.", "how")
+        self.lost_core_s = counter(
+            "lost_core_seconds", "Work thrown away to make room."
+        )
+        self.lines_left_out = counter("log_lines_left_out", "Sampled lines.")
+        self.lines_dropped = counter("log_lines_dropped", "Full pipe.")
+        self.acceptance_s = histogram(
+            "acceptance_seconds", "From a submission's arrival to its answer."
+        )
+        self.start_s = histogram(
+            "start_seconds", "From a unit's due time to its start order."
+        )
+        self.finish_s = histogram(
+            "finish_seconds", "From a job's acceptance to its end."
+        )
+        self.loop_delay_s = histogram(
+            "loop_delay_seconds", "How late the event loop wakes."
+        )
+        self.term = gauge("term", "Term held; 0 while following.")
+        self.configuration = gauge("configuration_version", "In force.")
+        self.journal_age_s = gauge("journal_age_seconds", "Age of the copy.")
+        self.open_jobs = gauge("open_jobs", "Jobs that are not ended.")
+        self.usable_workers = gauge("usable_workers", "While active.")
+
+    def render(self) -> bytes:
+        """Returns all of them as text."""
+        return generate_latest(self.registry)
+
+    async def watch_loop(self) -> None:
+        """Measures how late the event loop wakes, until cancelled."""
+        while True:
+            due_s = anyio.current_time() + LOOP_LOOK_S
+            await anyio.sleep(LOOP_LOOK_S)
+            self.loop_delay_s.observe(max(0.0, anyio.current_time() - due_s))
--- a/lagoonbeam/site/node.py
+++ b/lagoonbeam/site/node.py
@@ -45,6 +45,8 @@
 within two."""
 RETRY_S = 0.2
 """Seconds before a failed reading is repeated."""
+MEASURE_S = 1.0
+"""Seconds between two updates of the gauges."""
 JOIN_TIMEOUT_S = 5.0
 """Seconds to wait for the record of this instance's start."""
 
@@ -115,6 +117,8 @@
             tasks.start_soon(self._join)
             tasks.start_soon(self._follow_configuration)
             tasks.start_soon(self._schedule)
+            tasks.start_soon(self._measure)
+            tasks.start_soon(self._decisions.metrics.watch_loop)
 
     async def drain(self) -> None:
         """Hands the term over and takes no new callers."""
@@ -128,6 +132,16 @@
         instances = self.follower.state.instances.values()
         return tuple(instance.host for instance in instances)
 
+    async def _measure(self) -> None:
+        metrics = self._decisions.metrics
+        while True:
+            scheduler = self._scheduler
+            metrics.term.set(scheduler.token if scheduler else 0)
+            metrics.configuration.set(self.service.configuration.version)
+            metrics.journal_age_s.set(self.follower.age_s)
+            metrics.open_jobs.set(self.follower.state.count_open())
+            await anyio.sleep(MEASURE_S)
+
     async def _join(self) -> None:
         record = InstanceJoined(
             self._address.instance,
--- a/lagoonbeam/site/planner.py
+++ b/lagoonbeam/site/planner.py
@@ -50,11 +50,13 @@
     Attributes:
         starts: Units and where their tasks go.
         stops: Units to stop, each with the unit that needs the room.
+        lost_core_s: Core-seconds that the stops throw away.
         is_cut_short: Whether units were left for the next plan.
     """
 
     starts: list[tuple[UnitState, Assignment]] = field(default_factory=list)
     stops: list[tuple[UnitState, UnitState]] = field(default_factory=list)
+    lost_core_s: float = 0.0
     is_cut_short: bool = False
 
 
@@ -379,6 +381,7 @@
             unit, eviction.assignment, time.monotonic() + EVICTION_S
         )
         self._take(eviction.assignment, 1)
+        self._plan.lost_core_s += eviction.cost
         for victim in eviction.victims:
             self._plan.stops.append((victim, unit))
             for task in victim.tasks:
--- a/lagoonbeam/site/scheduler.py
+++ b/lagoonbeam/site/scheduler.py
@@ -157,7 +157,35 @@
     async def end_runs(self, ends: Sequence[RunEnd]) -> bool:
         """Journals ends; returns whether they are stored."""
         records: list[Record] = [RunsEnded(tuple(ends))]
-        return await self._journal(records)
+        jobs = {
+            task.unit.job.request.job_id: task.unit.job
+            for end in ends
+            if (task := self.state.tasks.get(end.task_id)) is not None
+            and task.unit.job.is_open
+        }
+        if not await self._journal(records):
+            return False
+        for end in ends:
+            self._decisions.metrics.ends.labels(end.end.value).inc()
+        for job in jobs.values():
+            if job.state is JobState.COMPLETED:
+                self._note_ended(job)
+        return True
+
+    def _note_ended(self, job: JobEntry, **inputs: object) -> None:
+        age_s = time.time() - job.request.accepted_at_s
+        self._decisions.metrics.finish_s.observe(max(0.0, age_s))
+        self._decisions.emit(
+            "job.ended",
+            job=job.request.job_id,
+            state=job.state.value,
+            age_s=round(age_s, 3),
+            tasks=sum(len(unit.tasks) for unit in job.all_units()),
+            starts=sum(
+                task.run for unit in job.all_units() for task in unit.tasks
+            ),
+            **inputs,
+        )
 
     def note_usable(self, session: WorkerSession) -> None:
         """Plans again after a worker became usable."""
@@ -256,6 +284,8 @@
 
     async def _plan_forever(self) -> None:
         while True:
+            usable = sum(s.is_usable for s in self.sessions.values())
+            self._decisions.metrics.usable_workers.set(usable)
             with anyio.move_on_after(PLAN_S):
                 await self._wake.wait()
             self._wake = anyio.Event()
@@ -268,10 +298,15 @@
         plan = self._planner.make_plan(
             self.state, self.sessions, self._get_configuration()
         )
+        self._decisions.metrics.lost_core_s.inc(plan.lost_core_s)
         for victim, unit in plan.stops:
             self._stop_unit(victim, f"room for {unit.key}")
         placements: list[Placement] = []
+        now_s = time.time()
         for unit, assignment in plan.starts:
+            job = unit.job
+            due_s = max(job.request.accepted_at_s, job.due_s(unit.occurrence))
+            self._decisions.metrics.start_s.observe(max(0.0, now_s - due_s))
             run = unit.next_run
             for task, worker in assignment:
                 session = self.sessions[worker]
@@ -339,17 +374,15 @@
                 None,
             )
             if worst is not None and not worst.is_done:
-                failed.append(JobFailed(job.request.job_id, worst.key))
-                self._decisions.emit(
-                    "job.ended",
-                    job=job.request.job_id,
-                    state=JobState.FAILED.value,
-                    task=worst.key,
-                    failures=worst.failures,
-                    allowed=most,
-                )
-        if failed:
-            await self._journal(failed)
+                failed.append((job, worst, most))
+        if not failed or not await self._journal(
+            [JobFailed(j.request.job_id, unit.key) for j, unit, _ in failed]
+        ):
+            return
+        for job, worst, most in failed:
+            self._note_ended(
+                job, task=worst.key, failures=worst.failures, allowed=most
+            )
 
     async def _end_lost_workers(self) -> None:
         """Ends runs on workers that are not listed and have no session."""
--- a/lagoonbeam/site/service.py
+++ b/lagoonbeam/site/service.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import time
+
 from lagoonbeam.errors import (
     NotReadyError,
     UnauthorizedError,
@@ -91,7 +93,10 @@
             self._decisions.emit("job.repeated", job=request.job_id)
             return
         self._check_store()
+        started_s = time.monotonic()
         await self._appender.append([JobAccepted(request)], timeout_s=timeout_s)
+        taken_s = time.monotonic() - started_s
+        self._decisions.metrics.acceptance_s.observe(taken_s)
         self._decisions.emit(
             "job.accepted",
             job=request.job_id,
@@ -102,7 +107,9 @@
                 f"{s.count}x{s.accelerators}{' gang' if s.is_gang else ''}"
                 for s in request.steps
             ],
+            repeats=request.repeat_count,
             version=self.configuration.version,
+            taken_s=round(taken_s, 3),
         )
 
     async def cancel(self, job_id: str, *, timeout_s: float) -> None:
--- a/lagoonbeam/site/session.py
+++ b/lagoonbeam/site/session.py
@@ -206,6 +206,8 @@
             self.failed_looks += 1
         finally:
             self._starting.discard(placement.task_id)
+            kind = outcome.partition(":")[0]
+            self._decisions.metrics.starts.labels(kind).inc()
             self._decisions.emit(
                 "run.start",
                 task=placement.task_id,
@@ -372,9 +374,10 @@
         if never:
             await self._owner.end_runs(never)
             for end in never:
-                task = self._owner.state.tasks.get(end.task_id)
-                if task is not None:
-                    self._owner.note_refusal(self, task)
+                self._forget_order(end.task_id, end.run)
+                refused = self._owner.state.tasks.get(end.task_id)
+                if refused is not None:
+                    self._owner.note_refusal(self, refused)
         self._stop_unwanted()
 
     async def _take_finished(self, view: WorkerView) -> None:
@@ -391,7 +394,7 @@
             and task.run == end.run
         ]
         for end in new:
-            started_s = self._started_s.pop(end.task_id, None)
+            started_s = self._forget_order(end.task_id, end.run)
             done = tasks.get(end.task_id) if end.end is End.DONE else None
             if done is not None and started_s is not None:
                 self._owner.note_done(done, time.monotonic() - started_s)
@@ -406,6 +409,12 @@
             return
         self._acknowledged = max(end.number for end in new)
 
+    def _forget_order(self, task_id: str, run: int) -> float | None:
+        """Drops what was noted of a run; returns when it was started."""
+        self._stops.pop((task_id, run), None)
+        self._stopped_s.pop((task_id, run), None)
+        return self._started_s.pop(task_id, None)
+
     def _stop_unwanted(self) -> None:
         tasks = self._owner.state.tasks
         for running in self.running.values():
--- a/lagoonbeam/site/state.py
+++ b/lagoonbeam/site/state.py
@@ -206,6 +206,10 @@
         for unit in job.all_units():
             self.tasks.update((task.task_id, task) for task in unit.tasks)
 
+    def count_open(self) -> int:
+        """Returns how many jobs may still start tasks."""
+        return len(self._open)
+
     def count_pending(self, queue: str) -> int:
         """Returns how many open jobs of a queue have not started."""
         return sum(
--- /dev/null
+++ b/tests/adapters/test_decoders.py
@@ -0,0 +1,140 @@
+"""The platform's wire: what is read, and what is refused with a type."""
+
+from __future__ import annotations
+
+import json
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+from lagoonbeam_platform.boot import load_boot, split_address
+from lagoonbeam_platform.configuration import decode_configuration
+from lagoonbeam_platform.front import decode_job
+from lagoonbeam_platform.store import decode_page, split_keyed
+from lagoonbeam_platform.workers import decode_report, decode_view
+
+from lagoonbeam.errors import (
+    InvalidRequestError,
+    MalformedAnswerError,
+    SettingsError,
+)
+from lagoonbeam.site.model import End, QueuePolicy, QueueRoute
+
+ROUTE = QueueRoute(QueuePolicy("q", "s"), "h", "/p/")
+JSON = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(),
+    lambda inner: st.lists(inner) | st.dictionaries(st.text(), inner),
+    max_leaves=8,
+)
+
+
+@given(st.binary(max_size=100) | JSON.map(lambda v: json.dumps(v).encode()))
+def test_foreign_bytes_are_typed_errors(data: bytes) -> None:
+    for decode in (
+        decode_configuration,
+        decode_view,
+        split_keyed,
+        lambda d: decode_report("w", d),
+        lambda d: decode_page(0, d),
+    ):
+        try:
+            decode(data)
+        except MalformedAnswerError as error:
+            assert error.detail
+    with pytest.raises(InvalidRequestError):
+        decode_job(data, "0" * 16, ROUTE, None)
+
+
+def test_worker_entry() -> None:
+    entry = {
+        "service": "s",
+        "address": "10.128.0.9:8080",
+        "zone": "z",
+        "state": "draining",
+        "capacity": {"cpu": 16000, "mem_mb": 32768, "gpu": 8},
+        "labels": ["a", "r1-3"],
+        "born": 17,
+        "drain_remaining_ms": 1500,
+        "seq": 4,
+    }
+    report = decode_report("i-1", json.dumps(entry).encode())
+    assert report.is_draining
+    assert (report.rack, report.incarnation) == ("r1-3", 17)
+    assert report.drain_remaining_s == 1.5
+    entry["state"] = "resting"
+    with pytest.raises(MalformedAnswerError):
+        decode_report("i-1", json.dumps(entry).encode())
+
+
+def test_list_of_runs() -> None:
+    body = {
+        "clock_ms": 5,
+        "born": 7,
+        "running": [["j.0.0.1", 2, "c", 41, 900]],
+        "finished": [[58, "j.0.0.9", 1, "broken", ""]],
+    }
+    view = decode_view(json.dumps(body).encode())
+    assert (view.running[0].checkpoint, view.running[0].percent) == ("c", 41)
+    assert view.finished[0].end is End.BROKEN
+
+
+def test_job_with_all_fields() -> None:
+    step = {
+        "count": 2,
+        "cpu": 500,
+        "mem_mb": 256,
+        "gpu": 4,
+        "estimated_ms": 900,
+        "gang": True,
+        "same_rack": True,
+        "affinity": "r1-3",
+        "required_label": "a",
+        "max_per_server": 1,
+        "checkpointing": True,
+    }
+    body = {
+        "spec": "x",
+        "steps": [step, {"after": [0]}],
+        "repeat_count": 3,
+        "start_at_ms": 5000,
+        "interval_ms": 250,
+    }
+    job = decode_job(json.dumps(body).encode(), "a" * 16, ROUTE, None)
+    first, second = job.steps
+    assert first.is_gang and first.is_one_rack and first.is_checkpointing
+    assert (first.data_rack, first.max_per_worker) == ("r1-3", 1)
+    assert second.after == (0,)
+    assert (job.first_due_s, job.interval_s) == (5.0, 0.25)
+
+
+@pytest.mark.parametrize(
+    "steps", [[], [{"count": 0}], [{"after": [0]}], [{"after": [1]}, {}]]
+)
+def test_impossible_steps_are_refused(steps: list[object]) -> None:
+    body = json.dumps({"spec": "x", "steps": steps}).encode()
+    with pytest.raises(InvalidRequestError):
+        decode_job(body, "a" * 16, ROUTE, None)
+
+
+def test_longest_prefix_goes_first() -> None:
+    def route(name: str, prefix: str) -> dict[str, object]:
+        return {
+            "name": name,
+            "host": "h",
+            "path_prefix": prefix,
+            "service": "s",
+        }
+
+    wire = {"version": 3, "routes": [route("a", "/x/"), route("b", "/x/y/")]}
+    configuration = decode_configuration(json.dumps(wire).encode())
+    found = configuration.find_route("h", "/x/y/z")
+    assert found is not None
+    assert found.policy.name == "b"
+
+
+def test_settings_without_a_file(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setenv("LAGOONBEAM_BOOT", "/nowhere.yaml")
+    with pytest.raises(SettingsError, match="nowhere"):
+        load_boot()
+    with pytest.raises(SettingsError, match="IP:PORT"):
+        split_address("nine")
--- /dev/null
+++ b/tests/site/test_explain.py
@@ -0,0 +1,97 @@
+from __future__ import annotations
+
+import json
+from pathlib import Path
+
+from typer.testing import CliRunner
+
+from lagoonbeam.commands.client import program
+
+JOB = "5c0e7a21d94b36f8"
+TASK = f"{JOB}.0.0.0"
+
+
+def write_log(path: Path, *events: dict[str, object]) -> str:
+    lines = [
+        json.dumps({"instance": path.stem, "at_s": float(n), **event})
+        for n, event in enumerate(events)
+    ]
+    path.write_text("not a decision\n" + "\n".join(lines))
+    return str(path)
+
+
+def explain(*paths: str) -> str:
+    result = CliRunner().invoke(program, ["explain", JOB, *paths])
+    assert result.exit_code == 0, result.output
+    return result.output.splitlines()[-1]
+
+
+def test_refused_request(tmp_path: Path) -> None:
+    log = write_log(
+        tmp_path / "n0.log",
+        {
+            "event": "request.refused",
+            "target": f"/checks/{JOB}",
+            "status": 503,
+            "cause": "the store has not answered for 1.3 s",
+        },
+    )
+    assert explain(log) == (
+        "cause: refused with 503: the store has not answered for 1.3 s"
+    )
+
+
+def test_job_that_finished_late(tmp_path: Path) -> None:
+    accepted = write_log(
+        tmp_path / "n0.log", {"event": "job.accepted", "job": JOB}
+    )
+    active = write_log(
+        tmp_path / "n1.log",
+        {"event": "unit.waits", "task": TASK, "free_accelerators": 3},
+        {"event": "run.start", "task": TASK},
+        {"event": "run.stop", "task": TASK, "cause": "room for x.0.0.0"},
+        {
+            "event": "job.ended",
+            "job": JOB,
+            "state": "completed",
+            "age_s": 9.5,
+            "tasks": 1,
+            "starts": 2,
+        },
+    )
+    assert explain(accepted, active) == (
+        "cause: completed after 9.5 s, 1 of its units waited for room (the"
+        " first with 3 accelerators free), 1 runs were stopped for urgent"
+        " work, 1 starts were repeats"
+    )
+
+
+def test_job_that_failed(tmp_path: Path) -> None:
+    log = write_log(
+        tmp_path / "n1.log",
+        {"event": "term.claimed", "term": 3},
+        {
+            "event": "job.ended",
+            "job": JOB,
+            "state": "failed",
+            "task": TASK,
+            "failures": 2,
+            "allowed": 2,
+        },
+    )
+    assert explain(log) == (
+        f"cause: failed: {TASK} failed 2 times, 2 are allowed"
+    )
+
+
+def test_collected_lines_with_time_and_name_are_read(tmp_path: Path) -> None:
+    path = tmp_path / "all.log"
+    event = {"event": "job.cancelled", "job": JOB, "instance": "n0"}
+    path.write_text(f"  -1.5000 n0 {json.dumps(event)}\n")
+    assert explain(str(path)) == "cause: cancelled by its caller"
+
+
+def test_unknown_job_is_said_so(tmp_path: Path) -> None:
+    log = write_log(tmp_path / "n0.log", {"event": "instance.start"})
+    result = CliRunner().invoke(program, ["explain", JOB, log])
+    assert result.exit_code == 1
--- /dev/null
+++ b/tests/site/test_state.py
@@ -0,0 +1,146 @@
+from __future__ import annotations
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from lagoonbeam.errors import MalformedAnswerError
+from lagoonbeam.site.model import End, JobState, Step
+from lagoonbeam.site.records import (
+    JobAccepted,
+    JobCancelled,
+    JobFailed,
+    RunEnd,
+    RunsEnded,
+    TermClaimed,
+    TermResigned,
+    decode_record,
+    encode_record,
+)
+from lagoonbeam.site.snapshot import decode_state, encode_state
+from lagoonbeam.site.state import SiteState
+from tests.site.builders import accept, make_job, place
+
+
+def end(state: SiteState, task_id: str, run: int, how: End, **kw: str) -> None:
+    state.apply(RunsEnded((RunEnd(task_id, run, how, **kw),)))
+
+
+def test_first_record_of_an_identifier_counts() -> None:
+    state = SiteState()
+    accept(state, make_job("a"))
+    state.apply(JobAccepted(make_job("a", Step(count=9))))
+    assert len(list(state.jobs["a"].all_units())) == 1
+
+
+def test_job_is_completed_when_all_its_units_are_done() -> None:
+    state = SiteState()
+    first, second = accept(state, make_job("a", Step(count=2)))
+    for unit in (first, second):
+        place(state, unit, "w0")
+        assert state.jobs["a"].state is JobState.RUNNING
+        end(state, unit.key, 1, End.DONE)
+    assert state.jobs["a"].state is JobState.COMPLETED
+    assert state.count_open() == 0
+    assert not state.placed["w0"]
+
+
+def test_end_of_another_run_changes_nothing() -> None:
+    state = SiteState()
+    (unit,) = accept(state, make_job("a"))
+    place(state, unit, "w0", run=3)
+    end(state, unit.key, 2, End.DONE)
+    assert not unit.is_done
+    assert unit.next_run == 4
+
+
+def test_only_failed_ends_count_as_attempts() -> None:
+    state = SiteState()
+    (unit,) = accept(state, make_job("a"))
+    for run, how in enumerate(set(End) - {End.DONE}, start=1):
+        place(state, unit, "w0", run=run)
+        end(state, unit.key, run, how)
+    assert unit.failures == 1
+
+
+def test_gang_fails_once_for_one_run() -> None:
+    state = SiteState()
+    (unit,) = accept(state, make_job("a", Step(count=3, is_gang=True)))
+    place(state, unit, "w0")
+    for task in unit.tasks[:2]:
+        end(state, task.task_id, 1, End.FAILED)
+    assert unit.failures == 1
+    assert unit.has_runs
+    end(state, unit.tasks[2].task_id, 1, End.BROKEN, checkpoint="c")
+    assert not unit.has_runs
+    assert unit.checkpoint == "c"
+
+
+def test_one_done_member_ends_the_gang() -> None:
+    state = SiteState()
+    (unit,) = accept(state, make_job("a", Step(count=3, is_gang=True)))
+    place(state, unit, "w0")
+    end(state, unit.tasks[1].task_id, 1, End.DONE)
+    assert state.jobs["a"].state is JobState.COMPLETED
+    assert not state.placed["w0"]
+
+
+def test_final_state_never_changes() -> None:
+    state = SiteState()
+    accept(state, make_job("a"))
+    state.apply(JobCancelled("a"))
+    state.apply(JobFailed("a", "a.0.0.0"))
+    assert state.jobs["a"].state is JobState.CANCELLED
+
+
+def test_pending_counts_jobs_that_never_started() -> None:
+    state = SiteState()
+    (unit,) = accept(state, make_job("a"))
+    accept(state, make_job("b"))
+    assert state.count_pending("q1") == 2
+    place(state, unit, "w0")
+    end(state, unit.key, 1, End.STOPPED)
+    assert state.count_pending("q1") == 1
+
+
+def test_resignation_of_an_older_term_changes_nothing() -> None:
+    state = SiteState()
+    state.apply(TermClaimed(2, "n0", "x"))
+    state.apply(TermResigned(1))
+    assert not state.term.is_resigned
+
+
+@given(st.lists(st.tuples(st.integers(0, 3), st.sampled_from(list(End)))))
+def test_snapshot_keeps_the_whole_state(ends: list[tuple[int, End]]) -> None:
+    state = SiteState()
+    state.apply(TermClaimed(7, "n1", "n1-x"))
+    steps = (Step(count=3), Step(count=2, is_gang=True, after=(0,)))
+    units = accept(state, make_job("a", *steps, repeat_count=1))
+    for index, how in ends:
+        unit = units[index]
+        if unit.is_done or not state.jobs["a"].is_open:
+            continue
+        run = unit.next_run
+        place(state, unit, f"w{index}", run)
+        end(state, unit.key, run, how, checkpoint=f"c{run}")
+    data = encode_state(state)
+    restored = decode_state(data)
+    assert encode_state(restored) == data
+    assert restored.term == state.term
+    assert restored.count_open() == state.count_open()
+    assert {w: set(t) for w, t in restored.placed.items() if t} == {
+        w: set(t) for w, t in state.placed.items() if t
+    }
+
+
+def test_record_survives_its_encoding() -> None:
+    record = JobAccepted(make_job("a", Step(count=2, data_rack="r1")))
+    assert decode_record(encode_record(record)) == record
+
+
+@given(st.binary(max_size=200))
+def test_foreign_bytes_are_a_typed_error(data: bytes) -> None:
+    for decode in (decode_record, decode_state):
+        try:
+            decode(data)
+        except MalformedAnswerError as error:
+            assert error.detail
