A site on loopback waits for its workers' stand-in

Cause: test_urgent_job_takes_lent_room run alone failed once with a refused connection: the site was taken for started before the workers' process listened. Ruled out: port clash (the same ports answered later). Change: start waits for the workers' history.

--- a/harness/site.py
+++ b/harness/site.py
@@ -126,6 +126,7 @@
             *("--count", str(self.plan.workers)),
             *("--rack", str(self.plan.rack)),
         )
+        self._wait(f"http://127.0.3.1:{self.worker_port}/standin/history")
         for name in self.names:
             self.start_instance(name)
         for name in self.names:
