Leases of a worker that stays silent come to an end

Change: a look that follows an unanswered one renews nothing, and one that could not be sent gave no lease.

--- a/lagoonbeam/site/session.py
+++ b/lagoonbeam/site/session.py
@@ -10,7 +10,12 @@
 import anyio
 import anyio.abc
 
-from lagoonbeam.errors import FencedError, LagoonbeamError, UnavailableError
+from lagoonbeam.errors import (
+    FencedError,
+    LagoonbeamError,
+    ServerUnreachableError,
+    UnavailableError,
+)
 from lagoonbeam.site.decisions import Decisions
 from lagoonbeam.site.model import End, RunningTask, WorkerReport, WorkerView
 from lagoonbeam.site.ports import StartOrder, StartRefusal, WorkerClient
@@ -249,6 +254,18 @@
         self._lapse_s = max(self._lapse_s, self._clock.passes_s(deadline_ms))
         return deadline_ms
 
+    def _may_renew(self) -> bool:
+        """Whether the next look may renew leases.
+
+        A look that follows one without an answer does not: the leases of a
+        worker that stays silent must come to an end.
+        """
+        return (
+            self._clock is not None
+            and self._owner.may_renew
+            and not self.failed_looks
+        )
+
     def _has_doubt(self) -> bool:
         return any(
             task.task_id not in self.running
@@ -260,7 +277,8 @@
         sent_s = time.monotonic()
         is_first = self._clock is None
         wait_s = DOUBT_WAIT_S if self._has_doubt() else LOOK_WAIT_S
-        renews = not is_first and self._owner.may_renew
+        renews = self._may_renew()
+        lapse_s = self._lapse_s
         try:
             view = await self._client.look(
                 token=self._owner.token,
@@ -272,6 +290,8 @@
             self._owner.lose_term(f"worker {self.worker} has a newer token")
             return
         except LagoonbeamError as error:
+            if isinstance(error, ServerUnreachableError):
+                self._lapse_s = lapse_s
             await self._miss(error)
             return
         if self.failed_looks >= UNREACHABLE_LOOKS:
--- a/tests/test_site_promises.py
+++ b/tests/test_site_promises.py
@@ -281,3 +281,15 @@
     site.wait_ready("n2")
     assert site.wait_state(path, name="n2") == "completed"
     site.set_store_faults(keep_records=1_000_000)
+
+
+def test_runs_of_a_lost_worker_start_elsewhere(site: Site) -> None:
+    path = site.submit([make_step(4)], spec={"run_s": 6.0})
+    wait_until(lambda: count_started(site, path) == 4)
+    lost = int(site.read_history()[-1]["worker"][1:])
+    site.call_worker(lost, "faults", silent=True)
+    try:
+        assert site.wait_state(path, timeout_s=25) == "completed"
+    finally:
+        site.call_worker(lost, "faults", silent=False)
+    assert count_events(site.read_history(), path)["lapsed"] > 0
