--- a/benchmarks/simulation.py
+++ b/benchmarks/simulation.py
@@ -18,13 +18,13 @@
     Arrival,
     Scene,
 )
+from lagoonbeam.core.health import HealthTracker
 from lagoonbeam.core.planned import PlannedJob, Standing
 from lagoonbeam.core.planner import Planner, Start, Stop
 from lagoonbeam.core.pool import WorkerHealth
 from lagoonbeam.core.routing import ZoneView, choose_zone
 from lagoonbeam.core.rules import PolicyChoice
 from lagoonbeam.errors import InvariantError
-from lagoonbeam.scheduler.health import HealthTracker
 
 LAUNCH_S = 0.05
 """Time from a decision to the start of a gang."""
--- a/lagoonbeam/scheduler/health.py
+++ b/lagoonbeam/core/health.py
@@ -26,8 +26,8 @@
 class _Record:
     """One worker's recent failures."""
 
+    pause_s: float
     failed_jobs: set[JobId] = field(default_factory=set)
-    pause_s: float = FIRST_PAUSE_S
     until_s: float = 0.0
     probing: bool = False
 
@@ -37,12 +37,25 @@
 
     Args:
         now: Source of the time in seconds.
+        streak: Different jobs failed in a row that make a worker suspect.
+        first_pause_s: First quarantine; doubles up to `max_pause_s`.
+        max_pause_s: Longest quarantine.
     """
 
-    def __init__(self, now: Callable[[], float]):
+    def __init__(
+        self,
+        now: Callable[[], float],
+        *,
+        streak: int = STREAK,
+        first_pause_s: float = FIRST_PAUSE_S,
+        max_pause_s: float = MAX_PAUSE_S,
+    ):
         self._now = now
+        self._streak = streak
+        self._first_pause_s = first_pause_s
+        self._max_pause_s = max_pause_s
         self._records: dict[WorkerName, _Record] = collections.defaultdict(
-            _Record
+            lambda: _Record(pause_s=first_pause_s)
         )
         self._latest: collections.deque[tuple[WorkerName, bool]] = (
             collections.deque(maxlen=WINDOW)
@@ -54,13 +67,13 @@
         record = self._records[worker]
         if ok:
             record.failed_jobs.clear()
-            record.pause_s = FIRST_PAUSE_S
+            record.pause_s = self._first_pause_s
             record.probing = False
             return
         record.failed_jobs.add(job_id)
         if record.probing or self._is_suspect(worker, record):
             record.until_s = self._now() + record.pause_s
-            record.pause_s = min(2 * record.pause_s, MAX_PAUSE_S)
+            record.pause_s = min(2 * record.pause_s, self._max_pause_s)
             record.probing = False
 
     def is_quarantined(self, worker: WorkerName) -> bool:
@@ -80,7 +93,7 @@
         return record is not None and (record.until_s > 0 or record.probing)
 
     def _is_suspect(self, worker: WorkerName, record: _Record) -> bool:
-        if len(record.failed_jobs) < STREAK:
+        if len(record.failed_jobs) < self._streak:
             return False
         others = [ok for name, ok in self._latest if name != worker]
-        return len(others) >= STREAK and sum(others) * 2 > len(others)
+        return len(others) >= self._streak and sum(others) * 2 > len(others)
--- a/lagoonbeam/scheduler/zone.py
+++ b/lagoonbeam/scheduler/zone.py
@@ -12,6 +12,7 @@
 
 from lagoonbeam.core.events import EventLog
 from lagoonbeam.core.faultpoints import FaultPoints
+from lagoonbeam.core.health import HealthTracker
 from lagoonbeam.core.jobs import Job, JobStatus, Outcome, Phase
 from lagoonbeam.core.messages import WorkerStatus
 from lagoonbeam.core.metrics import Metrics
@@ -48,7 +49,6 @@
 )
 from lagoonbeam.scheduler.catalog import get_worker_shape
 from lagoonbeam.scheduler.gangs import Gang, Member
-from lagoonbeam.scheduler.health import HealthTracker
 from lagoonbeam.scheduler.journal import Journal
 from lagoonbeam.scheduler.launcher import Launcher
 from lagoonbeam.scheduler.outcomes import Outcomes, describe_job
--- a/lagoonbeam/site/planner.py
+++ b/lagoonbeam/site/planner.py
@@ -36,6 +36,12 @@
 FAR_AFTER_RUNS = 2.0
 """Run times that a unit waits for a place where it runs at full speed; away
 from it, it takes three times as long."""
+LONGEST_PATIENCE_S = 10.0
+"""Longest wait for a place at full speed; the platform asks for all waiting
+work to run 14 seconds after the last caller."""
+IDLE_PATIENCE_S = 2.0
+"""Longest such wait while less than half of the capacity is in use; then
+work that could run must not wait for three seconds."""
 KEPT_FREE = {1: 0.1, 2: 0.2}
 """Part of the workers that work of a priority leaves free for urgent work,
 beside those that urgent work uses; lower priorities leave the last one."""
@@ -82,11 +88,13 @@
         self.reserved: dict[str, _Reserved] = {}
         self.decisions = decisions
         self._waiting: dict[str, int] = {}
+        self._avoided: dict[str, set[str]] = {}
 
     def make_plan(
         self,
         state: SiteState,
         sessions: Mapping[str, WorkerSession],
+        usable: Mapping[str, WorkerSession],
         configuration: Configuration,
     ) -> Plan:
         """Decides what starts now.
@@ -94,6 +102,7 @@
         Args:
             state: The state in force.
             sessions: All workers' sessions by name.
+            usable: Those that may get new runs.
             configuration: The configuration in force.
         """
         now_s = time.monotonic()
@@ -104,7 +113,21 @@
             and reserved.unit.job.is_open
             and not reserved.unit.has_runs
         }
-        return _Pass(self, state, sessions, configuration).run()
+        self._avoided = {
+            key: workers
+            for key, workers in self._avoided.items()
+            if (task := state.tasks.get(key)) is not None
+            and task.unit.job.is_open
+        }
+        return _Pass(self, state, sessions, usable, configuration).run()
+
+    def avoid(self, unit: UnitState, worker: str) -> None:
+        """Notes that a unit fared badly on a worker."""
+        self._avoided.setdefault(unit.key, set()).add(worker)
+
+    def get_avoided(self, unit: UnitState) -> frozenset[str]:
+        """Returns the workers on which a unit fared badly."""
+        return frozenset(self._avoided.get(unit.key, ()))
 
     def note_waiting(self, unit: UnitState, **inputs: object) -> None:
         """Writes once for each start why a unit could not be placed."""
@@ -133,11 +156,13 @@
         planner: Planner,
         state: SiteState,
         sessions: Mapping[str, WorkerSession],
+        usable: Mapping[str, WorkerSession],
         configuration: Configuration,
     ):
         self._planner = planner
         self._state = state
         self._sessions = sessions
+        self._usable = usable
         self._configuration = configuration
         self._now_s = time.time()
         self._policies: dict[str, QueuePolicy] = {}
@@ -188,6 +213,8 @@
 
     def _shape(self, unit: UnitState) -> tuple[object, ...]:
         """Identifies units that fit in the same places."""
+        if self._planner.get_avoided(unit):
+            return (unit.key,)
         if unit.key in self._planner.reserved or len(unit.tasks) > 1:
             return (unit.key,)
         return (*step_key(unit),)
@@ -242,8 +269,7 @@
     def _measure_rooms(self) -> Rooms:
         rooms = {
             name: make_room(session.report)
-            for name, session in self._sessions.items()
-            if session.is_usable
+            for name, session in self._usable.items()
         }
         for name, room in rooms.items():
             for task in self._state.placed.get(name, {}).values():
@@ -272,8 +298,15 @@
             self._take(reserved.assignment, -1)
         allow_far = self._may_be_far(unit, usable)
         rooms = usable
-        if policy.priority > 0:
+        has_waited = self._get_wait_s(unit) > IDLE_PATIENCE_S
+        if policy.priority > 0 and not (has_waited and self._is_idle(usable)):
             rooms = self._limit_lending(policy)
+        avoided = self._planner.get_avoided(unit)
+        if avoided:
+            others = {n: room for n, room in rooms.items() if n not in avoided}
+            assignment = place_unit(unit, others, allow_far=allow_far)
+            if assignment is not None:
+                return assignment
         assignment = place_unit(unit, rooms, allow_far=allow_far)
         if assignment is not None:
             return assignment
@@ -299,12 +332,18 @@
             if worker in self._rooms:
                 self._rooms[worker].take(task.unit, count)
 
+    def _get_wait_s(self, unit: UnitState) -> float:
+        """Returns the seconds since a unit's job was accepted or due."""
+        request = unit.job.request
+        due_s = unit.job.due_s(unit.occurrence)
+        return self._now_s - max(request.accepted_at_s, due_s)
+
     def _may_be_far(self, unit: UnitState, rooms: Rooms) -> bool:
-        since_s = max(
-            unit.job.request.accepted_at_s, unit.job.due_s(unit.occurrence)
-        )
         run_s = self._planner.durations.estimate_s(unit)
-        if self._now_s - since_s > FAR_AFTER_RUNS * run_s:
+        patience_s = min(FAR_AFTER_RUNS * run_s, LONGEST_PATIENCE_S)
+        if self._is_idle(rooms):
+            patience_s = min(patience_s, IDLE_PATIENCE_S)
+        if self._get_wait_s(unit) > patience_s:
             return True
         key = step_key(unit)
         if key not in self._near:
@@ -312,6 +351,15 @@
             self._near[key] = could_be_near(unit, reports)
         return not self._near[key]
 
+    def _is_idle(self, rooms: Rooms) -> bool:
+        """Whether less than half of a service's capacity is in use."""
+        whole = [room.report for room in rooms.values()]
+        free = sum(room.accelerators for room in rooms.values())
+        free_millis = sum(room.cpu_millis for room in rooms.values())
+        return 2 * free > sum(r.accelerators for r in whole) and (
+            2 * free_millis > sum(r.cpu_millis for r in whole)
+        )
+
     def _limit_lending(self, policy: QueuePolicy) -> Rooms:
         """Returns the workers that less urgent work may use.
 
--- a/lagoonbeam/site/scheduler.py
+++ b/lagoonbeam/site/scheduler.py
@@ -9,6 +9,7 @@
 import anyio
 import anyio.abc
 
+from lagoonbeam.core.health import HealthTracker
 from lagoonbeam.errors import LagoonbeamError, LogUncertainError
 from lagoonbeam.site.decisions import Decisions
 from lagoonbeam.site.journal import JournalAppender, JournalFollower
@@ -52,6 +53,13 @@
 """Seconds without the store for which an active scheduler renews leases."""
 PLAN_PAUSE_S = 0.01
 """Shortest time between two plans; what comes in between is planned once."""
+FAILED_STREAK = 2
+"""Different jobs failed in a row on one worker, while others do well, that
+put it into quarantine."""
+QUARANTINE_S = 4.0
+"""First quarantine of a worker; doubles each time its probe fails."""
+LONGEST_QUARANTINE_S = 60.0
+"""Longest quarantine of a worker."""
 SNAPSHOT_SHARE = 0.25
 """Part of the store's history after which a snapshot is written."""
 
@@ -114,6 +122,12 @@
         self._scope = anyio.CancelScope()
         self._wake = anyio.Event()
         self._planner = Planner(decisions)
+        self._health = HealthTracker(
+            time.monotonic,
+            streak=FAILED_STREAK,
+            first_pause_s=QUARANTINE_S,
+            max_pause_s=LONGEST_QUARANTINE_S,
+        )
         self._snapshot_s = time.monotonic()
         self._tasks: anyio.abc.TaskGroup | None = None
 
@@ -196,9 +210,32 @@
         self._stop_unit(task.unit, f"a start at {session.worker} was refused")
         self._wake.set()
 
-    def note_done(self, task: TaskState, run_s: float) -> None:
-        """Learns from a run that was started in this term and is done."""
-        self._planner.durations.note(task.unit.job.request.queue.name, run_s)
+    def note_end(
+        self,
+        session: WorkerSession,
+        task: TaskState,
+        end: End,
+        run_s: float | None,
+    ) -> None:
+        """Learns from the end of a run that is the task's present one."""
+        job_id = task.unit.job.request.job_id
+        if end is End.DONE:
+            self._health.observe(session.worker, job_id, ok=True)
+            if run_s is not None:
+                queue = task.unit.job.request.queue.name
+                self._planner.durations.note(queue, run_s)
+        elif end is End.FAILED:
+            self._health.observe(session.worker, job_id, ok=False)
+            self._planner.avoid(task.unit, session.worker)
+            if self._health.is_blamed(session.worker):
+                self._decisions.emit(
+                    "worker.quarantined", worker=session.worker, job=job_id
+                )
+
+    def note_stall(self, session: WorkerSession, task: TaskState) -> None:
+        """Stops a unit whose run stands still, and starts it elsewhere."""
+        self._planner.avoid(task.unit, session.worker)
+        self._stop_unit(task.unit, f"stands still at {session.worker}")
 
     def is_wanted(self, task: TaskState) -> bool:
         """Whether a task's run should go on."""
@@ -284,8 +321,6 @@
 
     async def _plan_forever(self) -> None:
         while True:
-            usable = sum(s.is_usable for s in self.sessions.values())
-            self._decisions.metrics.usable_workers.set(usable)
             with anyio.move_on_after(PLAN_S):
                 await self._wake.wait()
             self._wake = anyio.Event()
@@ -295,8 +330,14 @@
             await anyio.sleep(PLAN_PAUSE_S)
 
     def _plan(self) -> None:
+        usable = {
+            name: session
+            for name, session in self.sessions.items()
+            if session.is_usable and not self._health.is_quarantined(name)
+        }
+        self._decisions.metrics.usable_workers.set(len(usable))
         plan = self._planner.make_plan(
-            self.state, self.sessions, self._get_configuration()
+            self.state, self.sessions, usable, self._get_configuration()
         )
         self._decisions.metrics.lost_core_s.inc(plan.lost_core_s)
         for victim, unit in plan.stops:
--- a/lagoonbeam/site/session.py
+++ b/lagoonbeam/site/session.py
@@ -35,6 +35,14 @@
 CHECKPOINT_LOSS_S = 1.2
 """Seconds lost by stopping a run that saves its progress: half an interval
 of one second, and the time to restore."""
+STALL_S = 1.8
+"""Seconds without progress after which a run stands still; the shortest
+tasks advance by a percent in 25 ms, the longest in a tenth of a second."""
+STALL_PAUSE_S = 3.0
+"""Seconds without new runs after a run stood still on a worker."""
+PATIENCE_S = 4.5
+"""Seconds of work or of standing still that a new start elsewhere is worth;
+most workers that stand still go on after five seconds or more."""
 UNREACHABLE_LOOKS = 2
 """Failed looks in a row after which a worker gets no new runs."""
 
@@ -62,11 +70,20 @@
     def note_usable(self, session: WorkerSession) -> None:
         """Plans again after a worker became usable."""
 
+    def note_stall(self, session: WorkerSession, task: TaskState) -> None:
+        """Stops a unit whose run stands still."""
+
     def note_refusal(self, session: WorkerSession, task: TaskState) -> None:
         """Gives up the rest of a unit after a refused start."""
 
-    def note_done(self, task: TaskState, run_s: float) -> None:
-        """Learns from a run that was started here and is done."""
+    def note_end(
+        self,
+        session: WorkerSession,
+        task: TaskState,
+        end: End,
+        run_s: float | None,
+    ) -> None:
+        """Learns from the end of a run that is the task's present one."""
 
     def is_wanted(self, task: TaskState) -> bool:
         """Whether a task's run should go on."""
@@ -129,6 +146,8 @@
         self._starting: set[str] = set()
         self._started_s: dict[str, float] = {}
         self._opened_s = time.monotonic()
+        self._progress: dict[str, tuple[float, float]] = {}
+        self._stalled_s = float("-inf")
         self._stops: dict[tuple[str, int], float] = {}
         self._stopped_s: dict[tuple[str, int], float] = {}
         self._tasks: anyio.abc.TaskGroup | None = None
@@ -147,6 +166,7 @@
             and self.is_looked_at
             and not self.report.is_draining
             and self.failed_looks < UNREACHABLE_LOOKS
+            and time.monotonic() - self._stalled_s > STALL_PAUSE_S
         )
 
     async def run(self) -> None:
@@ -372,6 +392,7 @@
 
     async def _take_view(self, view: WorkerView, sent_s: float) -> None:
         self.running = {task.task_id: task for task in view.running}
+        self._take_progress()
         if not self.is_looked_at:
             self.is_looked_at = True
             self._owner.note_usable(self)
@@ -400,6 +421,28 @@
                     self._owner.note_refusal(self, refused)
         self._stop_unwanted()
 
+    def _take_progress(self) -> None:
+        """Notes which runs stand still, and stops those worth a new start."""
+        now_s = time.monotonic()
+        known = self._progress
+        self._progress = {
+            key: old
+            if (old := known.get(key)) is not None and old[0] == run.percent
+            else (run.percent, now_s)
+            for key, run in self.running.items()
+        }
+        tasks = self._owner.state.tasks
+        for key, (percent, since_s) in self._progress.items():
+            task = tasks.get(key)
+            still_s = now_s - since_s
+            if percent >= 100 or still_s < STALL_S or task is None:
+                continue
+            if task.unit.spec.is_long_running:
+                continue
+            self._stalled_s = now_s
+            if still_s > PATIENCE_S or self.get_lost_s(task) < PATIENCE_S:
+                self._owner.note_stall(self, task)
+
     async def _take_finished(self, view: WorkerView) -> None:
         new = [e for e in view.finished if e.number > self._acknowledged]
         if not new:
@@ -413,11 +456,13 @@
             and task.placement.worker == self.worker
             and task.run == end.run
         ]
+        now_s = time.monotonic()
         for end in new:
             started_s = self._forget_order(end.task_id, end.run)
-            done = tasks.get(end.task_id) if end.end is End.DONE else None
-            if done is not None and started_s is not None:
-                self._owner.note_done(done, time.monotonic() - started_s)
+            ended = tasks.get(end.task_id)
+            if ended is not None and ended.run == end.run:
+                run_s = None if started_s is None else now_s - started_s
+                self._owner.note_end(self, ended, end.end, run_s)
             self._decisions.emit(
                 "run.ended",
                 task=end.task_id,
--- a/standins/platform_worker.py
+++ b/standins/platform_worker.py
@@ -41,6 +41,7 @@
     unhealthy: bool = False
     late_s: float = 0.0
     draining: bool = False
+    stuck: bool = False
 
 
 @dataclass
@@ -61,6 +62,11 @@
         """Newest checkpoint; empty for a task that saves none."""
         return f"{self.done_s:.3f}" if self.spec.get("saves") else ""
 
+    @property
+    def percent(self) -> int:
+        """Progress."""
+        return min(100, int(100 * self.done_s / max(0.001, self.work_s)))
+
     @property
     def gang(self) -> tuple[str, int]:
         """Identifies the run's gang."""
@@ -122,6 +128,8 @@
                 self.end(run, "lapsed")
             elif run.stop_at_s and time.time() >= run.stop_at_s:
                 self.end(run, "stopped")
+            elif self.faults.stuck:
+                continue
             elif self.fleet.is_whole(run):
                 run.done_s += passed_s
                 if self.faults.fail_all or run.spec.get("fail"):
@@ -278,12 +286,7 @@
         while not worker.ends and time.time() < until_s:
             await asyncio.sleep(_TICK_S)
         running = [
-            [
-                run.task,
-                run.run,
-                f"{run.done_s:.3f}" if run.spec.get("saves") else "",
-                50,
-            ]
+            [run.task, run.run, run.saved, run.percent]
             for run in worker.runs.values()
         ]
         return self._answer(worker, running=running, finished=worker.ends)
--- a/tests/site/test_planner.py
+++ b/tests/site/test_planner.py
@@ -36,7 +36,7 @@
 
 def plan(state: SiteState, sessions: dict[str, Any]) -> Plan:
     planner = Planner(Decisions("n0", "z1", descriptor=2))
-    return planner.make_plan(state, sessions, make_configuration())
+    return planner.make_plan(state, sessions, sessions, make_configuration())
 
 
 def now_job(job_id: str, *steps: Step, **fields: Any) -> Any:
@@ -121,10 +121,10 @@
     (lent,) = accept(state, now_job("l", WHOLE))
     place(state, lent, "w0")
     accept(state, now_job("u", WHOLE, priority=0))
-    planner.make_plan(state, sessions, configuration)
+    planner.make_plan(state, sessions, sessions, configuration)
     state.apply(RunsEnded((RunEnd(lent.key, 1, End.STOPPED),)))
     accept(state, now_job("v", WHOLE))
-    made = planner.make_plan(state, sessions, configuration)
+    made = planner.make_plan(state, sessions, sessions, configuration)
     assert [unit.key for unit, _ in made.starts] == ["u.0.0.0"]
 
 
@@ -140,8 +140,8 @@
     accept(state, now_job("a", WHOLE, priority=0))
     accept(state, now_job("b", WHOLE, priority=0))
     sessions = make_sessions(1)
-    first = planner.make_plan(state, sessions, make_configuration())
-    again = planner.make_plan(state, sessions, make_configuration())
+    first = planner.make_plan(state, sessions, sessions, make_configuration())
+    again = planner.make_plan(state, sessions, sessions, make_configuration())
     assert len(first.starts) == 1
     assert not again.starts
 
@@ -181,3 +181,33 @@
         assert found is expected
     durations.note("q1", 12.0)
     assert durations.get_earning(unit, policy, 110.0) is Earning.FULL
+
+
+def test_unit_that_failed_on_a_worker_goes_to_another() -> None:
+    state = SiteState()
+    (unit,) = accept(state, now_job("a", WHOLE, priority=0))
+    planner = Planner(Decisions("n0", "z1", descriptor=2))
+    sessions = make_sessions(2)
+    planner.avoid(unit, "w0")
+    made = planner.make_plan(state, sessions, sessions, make_configuration())
+    assert workers_of(made) == ["w1"]
+
+
+def test_unit_that_failed_everywhere_may_still_start() -> None:
+    state = SiteState()
+    (unit,) = accept(state, now_job("a", WHOLE, priority=0))
+    planner = Planner(Decisions("n0", "z1", descriptor=2))
+    sessions = make_sessions(1)
+    planner.avoid(unit, "w0")
+    made = planner.make_plan(state, sessions, sessions, make_configuration())
+    assert workers_of(made) == ["w0"]
+
+
+def test_gang_of_one_rack_runs_over_racks_when_much_is_idle() -> None:
+    state = SiteState()
+    step = Step(count=2, accelerators=8, is_gang=True, is_one_rack=True)
+    accept(state, make_job("a", step, accepted_at_s=time.time() - 3.0))
+    for number in (0, 2):
+        (unit,) = accept(state, now_job(f"b{number}"))
+        place(state, unit, f"w{number}")
+    assert len(workers_of(plan(state, make_sessions(4)))) == 2
--- a/tests/test_site_promises.py
+++ b/tests/test_site_promises.py
@@ -293,3 +293,24 @@
     finally:
         site.call_worker(lost, "faults", silent=False)
     assert count_events(site.read_history(), path)["lapsed"] > 0
+
+
+def test_jobs_survive_a_worker_that_fails_all(site: Site) -> None:
+    site.call_worker(0, "faults", fail_all=True)
+    try:
+        paths = [site.submit([make_step(3)]) for _ in range(6)]
+        for path in paths:
+            assert site.wait_state(path) == "completed"
+    finally:
+        site.call_worker(0, "faults", fail_all=False)
+
+
+def test_runs_that_stand_still_start_elsewhere(site: Site) -> None:
+    path = site.submit([make_step(2)], spec={"run_s": 3.0})
+    wait_until(lambda: count_started(site, path) == 2)
+    stuck = int(site.read_history()[-1]["worker"][1:])
+    site.call_worker(stuck, "faults", stuck=True)
+    try:
+        assert site.wait_state(path) == "completed"
+    finally:
+        site.call_worker(stuck, "faults", stuck=False)
