--- a/lagoonbeam/site/journal.py
+++ b/lagoonbeam/site/journal.py
@@ -35,8 +35,9 @@
 from lagoonbeam.site.state import SiteState
 from lagoonbeam.types import Offset
 
-READ_WAIT_S = 1.0
-"""Seconds one read waits for a record; bounds the age of what is known."""
+READ_WAIT_S = 0.5
+"""Seconds one read waits for a record; bounds the age of what is known. The
+active scheduler's renewals end most reads as early."""
 ACTIVE_READ_WAIT_S = 0.25
 """Seconds that the active scheduler's reads wait; a store that forgets its
 history wakes no waiting reader for a second, but answers new ones."""
--- a/lagoonbeam/site/node.py
+++ b/lagoonbeam/site/node.py
@@ -4,7 +4,6 @@
 
 import random
 import secrets
-import time
 from dataclasses import dataclass
 
 import anyio
@@ -33,10 +32,10 @@
 
 SCHEDULER_WRITER = "scheduler"
 """Name under which active schedulers append; the store fences it."""
-TAKEOVER_S = 1.6
+TAKEOVER_S = 1.3
 """Seconds without a sign of life after which a term may be claimed; three
-renewals and the slowest answer of the store."""
-TAKEOVER_SPREAD_S = 0.4
+renewals, of which one may take 0.5 s in a slow store."""
+TAKEOVER_SPREAD_S = 0.3
 """Seconds over which instances spread their claims."""
 ELECTION_S = 0.1
 """Seconds between two looks at whether to claim."""
@@ -178,7 +177,6 @@
                 )
 
     def _should_claim(self) -> bool:
-        now_s = time.monotonic()
         follower = self.follower
         if (
             self.service.is_draining
@@ -186,12 +184,12 @@
             or follower.age_s > 2 * CONFIGURATION_WAIT_S
         ):
             return False
-        if follower.state.term.is_resigned:
+        if follower.state.is_vacant:
             return True
         heard_s = max(
             follower.term_seen_s, follower.failed_s, follower.first_synced_s
         )
-        return now_s - heard_s > TAKEOVER_S + self._spread_s
+        return follower.synced_s - heard_s > TAKEOVER_S + self._spread_s
 
     async def _schedule(self) -> None:
         while True:
--- a/lagoonbeam/site/relay.py
+++ b/lagoonbeam/site/relay.py
@@ -16,8 +16,10 @@
 )
 
 RELAY_TARGET = "/relay"
-PEERS_TRIED = 2
+PEERS_TRIED = 3
 """Peers that one call is tried through."""
+REFUSALS = frozenset({429, 503})
+"""Statuses with which the store turns a machine away without effect."""
 PEER_PAUSE_S = 2.0
 """Seconds that a peer is left out after it failed a call."""
 HOP_S = 0.3
@@ -67,6 +69,7 @@
         self._seeds = seeds
         self._clients: dict[str, HttpClient] = {}
         self._paused: dict[str, float] = {}
+        self._last_host = ""
         self.peers: Callable[[], tuple[str, ...]] = tuple
 
     async def call(self, call: RelayedCall) -> Response:
@@ -76,36 +79,52 @@
             ServerUnreachableError: If no peer could make it.
             AnswerLostError: If it may have been carried out.
         """
-        now_s = time.monotonic()
-        hosts = {*self._seeds, *self.peers()} - {self._own_host}
-        able = [h for h in hosts if self._paused.get(h, 0.0) <= now_s]
-        random.shuffle(able)
         lost: AnswerLostError | None = None
-        for host in able[:PEERS_TRIED]:
-            client = self._clients.setdefault(
-                host, HttpClient(host, self._port)
-            )
+        refused: Response | None = None
+        for host in self._choose_hosts()[:PEERS_TRIED]:
             try:
-                response = await client.call(
-                    "POST",
-                    RELAY_TARGET,
-                    body=_ENCODER.encode(call),
-                    timeout_s=call.timeout_s + HOP_S,
-                )
+                answer = await self._call_peer(host, call)
             except AnswerLostError as error:
                 lost = error
             except ServerUnreachableError:
                 pass
             else:
-                if response.status == 200:
-                    answer = _ANSWERS.decode(response.body)
-                    return Response(answer.status, answer.body)
-                if response.status == 504:
-                    lost = AnswerLostError(f"peer {host}: no answer")
+                if answer.status not in REFUSALS:
+                    self._last_host = host
+                    return answer
+                refused = answer
             self._paused[host] = time.monotonic() + PEER_PAUSE_S
         if lost is not None:
             raise lost
-        raise ServerUnreachableError(f"no peer of {len(hosts)} could relay")
+        if refused is not None:
+            return refused
+        raise ServerUnreachableError("no peer could relay")
+
+    def _choose_hosts(self) -> list[str]:
+        """Returns peers that may be asked, the last that helped first."""
+        now_s = time.monotonic()
+        hosts = {*self._seeds, *self.peers()} - {self._own_host}
+        able = [h for h in hosts if self._paused.get(h, 0.0) <= now_s]
+        random.shuffle(able)
+        return sorted(able, key=lambda host: host != self._last_host)
+
+    async def _call_peer(self, host: str, call: RelayedCall) -> Response:
+        client = self._clients.setdefault(host, HttpClient(host, self._port))
+        response = await client.call(
+            "POST",
+            RELAY_TARGET,
+            body=_ENCODER.encode(call),
+            timeout_s=call.timeout_s + HOP_S,
+        )
+        if response.status == 504:
+            raise AnswerLostError(f"peer {host}: no answer")
+        if response.status != 200:
+            raise ServerUnreachableError(f"peer {host}: {response.status}")
+        try:
+            answer = _ANSWERS.decode(response.body)
+        except msgspec.MsgspecError as error:
+            raise AnswerLostError(f"peer {host}: {error}") from error
+        return Response(answer.status, answer.body)
 
 
 async def serve_relay(request: Request, call_store: CallStore) -> Response:
--- a/lagoonbeam/site/scheduler.py
+++ b/lagoonbeam/site/scheduler.py
@@ -40,7 +40,7 @@
 from lagoonbeam.site.session import WorkerSession
 from lagoonbeam.site.state import JobEntry, SiteState, TaskState, UnitState
 
-RENEW_S = 0.5
+RENEW_S = 0.4
 """Seconds between two signs of life in the journal."""
 DIRECTORY_S = 0.4
 """Seconds between two readings of the list of workers; a leaving worker is
--- a/lagoonbeam/site/state.py
+++ b/lagoonbeam/site/state.py
@@ -191,6 +191,18 @@
         self._open: dict[str, JobEntry] = {}
         self._ended: dict[str, None] = {}
 
+    @property
+    def is_vacant(self) -> bool:
+        """Whether the newest term's holder is known to schedule no more.
+
+        It resigned, or its instance has started again since.
+        """
+        term = self.term
+        joined = self.instances.get(term.instance)
+        return term.is_resigned or (
+            joined is not None and joined.incarnation != term.incarnation
+        )
+
     def apply(self, record: Record) -> None:
         """Takes one record into account."""
         _apply(record, self)
--- a/tests/site/test_state.py
+++ b/tests/site/test_state.py
@@ -6,6 +6,7 @@
 from lagoonbeam.errors import MalformedAnswerError
 from lagoonbeam.site.model import End, JobState, Step
 from lagoonbeam.site.records import (
+    InstanceJoined,
     JobAccepted,
     JobCancelled,
     JobFailed,
@@ -109,6 +110,18 @@
     assert not state.term.is_resigned
 
 
+def test_term_is_vacant_once_its_holder_has_started_again() -> None:
+    state = SiteState()
+    assert state.is_vacant
+    state.apply(InstanceJoined("n0", "first", "127.0.4.1", 1))
+    state.apply(TermClaimed(1, "n0", "first"))
+    assert not state.is_vacant
+    state.apply(InstanceJoined("n1", "other", "127.0.4.2", 1))
+    assert not state.is_vacant
+    state.apply(InstanceJoined("n0", "second", "127.0.4.1", 1))
+    assert state.is_vacant
+
+
 @given(st.lists(st.tuples(st.integers(0, 3), st.sampled_from(list(End)))))
 def test_snapshot_keeps_the_whole_state(ends: list[tuple[int, End]]) -> None:
     state = SiteState()
