Followers read at most ten times a second

Change: a follower pauses 0.1 s after a reading that brought records; the active scheduler does not.

--- a/lagoonbeam/site/journal.py
+++ b/lagoonbeam/site/journal.py
@@ -41,6 +41,9 @@
 ACTIVE_READ_WAIT_S = 0.25
 """Seconds that the active scheduler's reads wait; a store that forgets its
 history wakes no waiting reader for a second, but answers new ones."""
+FOLLOWER_PAUSE_S = 0.1
+"""Seconds between two readings of a follower that brought records; bounds
+its calls to the store, whatever the rate of records."""
 RETRY_S = 0.1
 """Seconds between two attempts at the store, before jitter."""
 LINGER_S = 0.002
@@ -83,7 +86,7 @@
         self.term_seen_s = float("-inf")
         self.first_synced_s = float("inf")
         self.snapshot_offset: Offset = 0
-        self.read_wait_s = READ_WAIT_S
+        self.is_active = False
 
     @property
     def age_s(self) -> float:
@@ -96,7 +99,10 @@
         while True:
             try:
                 page = await self._store.read(
-                    self.offset, wait_s=self.read_wait_s
+                    self.offset,
+                    wait_s=ACTIVE_READ_WAIT_S
+                    if self.is_active
+                    else READ_WAIT_S,
                 )
             except LogTruncatedError:
                 self._decisions.emit("journal.truncated", offset=self.offset)
@@ -118,6 +124,8 @@
                 self.synced_s = time.monotonic()
                 self.first_synced_s = min(self.first_synced_s, self.synced_s)
             self._notify()
+            if page.records and not self.is_active:
+                await anyio.sleep(FOLLOWER_PAUSE_S)
 
     async def wait_for(self, offset: Offset, timeout_s: float) -> bool:
         """Waits until all records before an offset are applied."""
--- a/lagoonbeam/site/node.py
+++ b/lagoonbeam/site/node.py
@@ -12,8 +12,6 @@
 from lagoonbeam.errors import LagoonbeamError
 from lagoonbeam.site.decisions import Decisions
 from lagoonbeam.site.journal import (
-    ACTIVE_READ_WAIT_S,
-    READ_WAIT_S,
     JournalAppender,
     JournalFollower,
     claim_term,
@@ -224,9 +222,9 @@
                 bounds=self._bounds,
                 decisions=self._decisions,
             )
-            self.follower.read_wait_s = ACTIVE_READ_WAIT_S
+            self.follower.is_active = True
             try:
                 await self._scheduler.run()
             finally:
-                self.follower.read_wait_s = READ_WAIT_S
+                self.follower.is_active = False
                 self._scheduler = None
