An unknown job is looked for in a fresh reading before it is denied

Cause: with followers that pause, DELETE at another instance right after the acceptance was answered 410, and the job ran on (test_cancelled_job_is_stopped red). It could have happened before, within the time of one reading. Change: a call about a job that the copy does not know hurries a reading and waits for it.

--- a/lagoonbeam/site/journal.py
+++ b/lagoonbeam/site/journal.py
@@ -78,6 +78,8 @@
         self._store = store
         self._decisions = decisions
         self._changed = anyio.Event()
+        self._hurry = anyio.Event()
+        self._read_s = float("-inf")
         self._reachable = True
         self.state = SiteState()
         self.offset: Offset = 0
@@ -98,11 +100,9 @@
         await self._restore()
         while True:
             try:
+                started_s = time.monotonic()
                 page = await self._store.read(
-                    self.offset,
-                    wait_s=ACTIVE_READ_WAIT_S
-                    if self.is_active
-                    else READ_WAIT_S,
+                    self.offset, wait_s=self._get_wait_s()
                 )
             except LogTruncatedError:
                 self._decisions.emit("journal.truncated", offset=self.offset)
@@ -123,9 +123,11 @@
             if self.offset >= page.end:
                 self.synced_s = time.monotonic()
                 self.first_synced_s = min(self.first_synced_s, self.synced_s)
+            self._read_s = started_s
             self._notify()
             if page.records and not self.is_active:
-                await anyio.sleep(FOLLOWER_PAUSE_S)
+                with anyio.move_on_after(FOLLOWER_PAUSE_S):
+                    await self._hurry.wait()
 
     async def wait_for(self, offset: Offset, timeout_s: float) -> bool:
         """Waits until all records before an offset are applied."""
@@ -134,6 +136,14 @@
                 await self._changed.wait()
         return self.offset >= offset
 
+    async def catch_up(self, timeout_s: float) -> None:
+        """Waits until a reading that began after this call is applied."""
+        called_s = time.monotonic()
+        self._hurry.set()
+        with anyio.move_on_after(timeout_s):
+            while self._read_s < called_s:
+                await self._changed.wait()
+
     async def wait_change(self) -> None:
         """Waits until something was read."""
         await self._changed.wait()
@@ -175,6 +185,12 @@
                 await anyio.sleep(jitter(RETRY_S))
             return
 
+    def _get_wait_s(self) -> float:
+        if self._hurry.is_set():
+            self._hurry = anyio.Event()
+            return 0.0
+        return ACTIVE_READ_WAIT_S if self.is_active else READ_WAIT_S
+
     def _apply(self, data: bytes) -> None:
         try:
             record = decode_record(data)
--- a/lagoonbeam/site/service.py
+++ b/lagoonbeam/site/service.py
@@ -26,6 +26,8 @@
 be visible everywhere after three seconds."""
 RETRY_AFTER_S = 1.0
 """Seconds after which a refused caller is asked to come back."""
+CATCH_UP_S = 1.0
+"""Seconds to read what is new before a job is said not to exist."""
 STUCK_S = 1.0
 """Seconds without the store after which new work is refused at once."""
 
@@ -120,26 +122,28 @@
             LogUnavailableError: If it was not cancelled.
             LogUncertainError: If it may have been cancelled.
         """
-        self._find(job_id)
+        await self._find(job_id)
         self._check_store()
         await self._appender.append([JobCancelled(job_id)], timeout_s=timeout_s)
         self._decisions.emit("job.cancelled", job=job_id)
 
-    def get_state(self, job_id: str) -> JobState:
+    async def get_state(self, job_id: str) -> JobState:
         """Returns where a job stands.
 
         Raises:
             UnknownJobError: If there is no such job.
             NotReadyError: If the copy is too old to say.
         """
-        return self._find(job_id)
+        return await self._find(job_id)
 
     def count_pending(self, queue: str) -> int:
         """Returns how many accepted jobs of a queue have not started."""
         self._check_fresh()
         return self._follower.state.count_pending(queue)
 
-    def _find(self, job_id: str) -> JobState:
+    async def _find(self, job_id: str) -> JobState:
+        if job_id not in self._follower.state.jobs:
+            await self._follower.catch_up(CATCH_UP_S)
         job = self._follower.state.jobs.get(job_id)
         if job is not None and not job.is_open:
             return job.state
