Advice with tickets, pacing of fillers, long-running tasks

Change: AdviceBook asks which workers a queue's policy allows and keeps the tickets; Pacer halves the share of fillers while a serving task beside them is above 85 % of its target latency and gives it back in tenths; long-running tasks start again however they end, come first when they do, and are never stopped to make room.

--- a/lagoonbeam/site/model.py
+++ b/lagoonbeam/site/model.py
@@ -259,12 +259,15 @@
         run: Number of its start.
         checkpoint: Newest saved progress; empty for none.
         percent: Progress or, for long-running tasks, readiness.
+        load: Tail latency of a serving task in milliseconds; processor
+            share in use of any other.
     """
 
     task_id: str
     run: int
     checkpoint: str
     percent: float
+    load: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -303,6 +306,11 @@
     finished: tuple[FinishedRun, ...] = ()
 
 
+def make_step_id(job_id: str, occurrence: int, step: int) -> str:
+    """Returns the name of a step of an occurrence."""
+    return f"{job_id}.{occurrence}.{step}"
+
+
 def make_task_id(job_id: str, occurrence: int, step: int, index: int) -> str:
     """Returns the name of a task, as workers know it."""
     return f"{job_id}.{occurrence}.{step}.{index}"
--- a/lagoonbeam/site/node.py
+++ b/lagoonbeam/site/node.py
@@ -10,6 +10,7 @@
 import anyio.abc
 
 from lagoonbeam.errors import LagoonbeamError
+from lagoonbeam.site.advice import AdviceBook
 from lagoonbeam.site.decisions import Decisions
 from lagoonbeam.site.journal import (
     JournalAppender,
@@ -18,6 +19,7 @@
     jitter,
 )
 from lagoonbeam.site.ports import (
+    AdviceService,
     ConfigurationSource,
     JournalStore,
     WorkerConnector,
@@ -74,6 +76,7 @@
         configuration: Where operators publish.
         directory: The list of workers.
         connector: Makes clients for workers.
+        advice: Knows which workers queues may use; None where none does.
         bounds: Times that the platform gives.
         decisions: The decision log.
     """
@@ -86,6 +89,7 @@
         configuration: ConfigurationSource,
         directory: WorkerDirectory,
         connector: WorkerConnector,
+        advice: AdviceService | None,
         bounds: SchedulerBounds,
         decisions: Decisions,
     ):
@@ -94,6 +98,7 @@
         self._configuration = configuration
         self._directory = directory
         self._connector = connector
+        self._advice = advice
         self._bounds = bounds
         self._decisions = decisions
         self._incarnation = f"{address.instance}-{secrets.token_hex(6)}"
@@ -216,6 +221,7 @@
                 follower=self.follower,
                 directory=self._directory,
                 connector=self._connector,
+                advice=AdviceBook(self._advice, self._decisions),
                 writer=writer,
                 sequence=sequence,
                 get_configuration=lambda: self.service.configuration,
--- a/lagoonbeam/site/placement.py
+++ b/lagoonbeam/site/placement.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, field
 
-from lagoonbeam.site.model import Step, WorkerReport
+from lagoonbeam.site.model import Step, WorkerReport, make_step_id
 from lagoonbeam.site.state import TaskState, UnitState
 
 ACCELERATOR_CORES = 8
@@ -77,6 +77,11 @@
     return (unit.job.request.job_id, unit.occurrence, unit.step)
 
 
+def get_step_id(unit: UnitState) -> str:
+    """Returns the name of the step that a unit belongs to."""
+    return make_step_id(*step_key(unit))
+
+
 def is_suited(report: WorkerReport, step: Step) -> bool:
     """Whether a worker has the label that a step requires."""
     return not step.required_label or step.required_label in report.labels
--- a/lagoonbeam/site/planner.py
+++ b/lagoonbeam/site/planner.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass, field
 from itertools import chain
 
+from lagoonbeam.site.advice import AdviceBook
 from lagoonbeam.site.decisions import Decisions
 from lagoonbeam.site.durations import Durations, Earning
 from lagoonbeam.site.guarantees import find_covered
@@ -20,6 +21,7 @@
     Rooms,
     could_be_near,
     find_eviction,
+    get_step_id,
     is_suited,
     make_room,
     place_unit,
@@ -80,13 +82,15 @@
 
     Args:
         decisions: The decision log.
+        advice: Tickets for the workers that queues may use.
     """
 
-    def __init__(self, decisions: Decisions):
+    def __init__(self, decisions: Decisions, advice: AdviceBook | None = None):
         self.durations = Durations()
         self.launching: dict[str, Assignment] = {}
         self.reserved: dict[str, _Reserved] = {}
         self.decisions = decisions
+        self.advice = advice
         self._waiting: dict[str, int] = {}
         self._avoided: dict[str, set[str]] = {}
 
@@ -253,11 +257,14 @@
             self._policy,
         )
 
-        def rank(unit: UnitState) -> tuple[bool, bool, int, Earning, float]:
+        def rank(
+            unit: UnitState,
+        ) -> tuple[bool, bool, bool, int, Earning, float]:
             job = unit.job
             earning = self._get_earning(unit)
             return (
                 job.request.job_id not in covered,
+                not unit.spec.is_long_running,
                 earning is Earning.NOTHING,
                 self._policy(job).priority,
                 earning,
@@ -276,6 +283,8 @@
                 unit = task.unit
                 room.take(unit)
                 policy = self._policy(unit.job)
+                if unit.spec.is_long_running:
+                    continue
                 if policy.priority > 0:
                     self._lent[name][unit.key] = unit
                 else:
@@ -301,6 +310,8 @@
         has_waited = self._get_wait_s(unit) > IDLE_PATIENCE_S
         if policy.priority > 0 and not (has_waited and self._is_idle(usable)):
             rooms = self._limit_lending(policy)
+        if policy.is_advised:
+            rooms = self._limit_to_advised(unit, rooms)
         avoided = self._planner.get_avoided(unit)
         if avoided:
             others = {n: room for n, room in rooms.items() if n not in avoided}
@@ -313,8 +324,8 @@
         if reserved is not None:
             self._take(reserved.assignment, 1)
             self._planner.reserved[unit.key] = reserved
-        elif policy.priority == 0:
-            self._evict(unit, usable, allow_far)
+        elif self._may_evict(unit, policy):
+            self._evict(unit, rooms if policy.is_advised else usable, allow_far)
         elif unit.spec.is_gang and self._get_earning(unit) is Earning.FULL:
             self._keep_for(unit, policy, rooms)
         self._planner.note_waiting(
@@ -327,6 +338,34 @@
         )
         return None
 
+    def _may_evict(self, unit: UnitState, policy: QueuePolicy) -> bool:
+        """Whether others may be stopped for a unit.
+
+        Long-running tasks that ran before must be back within seconds.
+        """
+        was_running = unit.spec.is_long_running and unit.next_run > 1
+        return policy.priority == 0 or was_running
+
+    def _limit_to_advised(self, unit: UnitState, rooms: Rooms) -> Rooms:
+        """Returns the workers with a ticket, and asks about the others."""
+        advice = self._planner.advice
+        if advice is None:
+            return rooms
+        step = get_step_id(unit)
+        tickets = advice.get_tickets(step)
+        allowed = {n: room for n, room in rooms.items() if n in tickets}
+        count = len(unit.tasks)
+        if sum(r.count_fitting(unit, count) for r in allowed.values()) < count:
+            by_room = sorted(
+                (r for r in rooms.values() if is_suited(r.report, unit.spec)),
+                key=lambda room: -room.count_fitting(unit, count),
+            )
+            advice.want(
+                step,
+                [(r.report.worker, r.report.incarnation) for r in by_room],
+            )
+        return allowed
+
     def _take(self, assignment: Assignment, count: int) -> None:
         for task, worker in assignment:
             if worker in self._rooms:
--- a/lagoonbeam/site/ports.py
+++ b/lagoonbeam/site/ports.py
@@ -195,11 +195,46 @@
     async def stop(self, task_id: str, run: int, *, token: int) -> None:
         """Stops a run, or makes sure that it will never start."""
 
+    @abstractmethod
+    async def pace(
+        self, task_id: str, run: int, percent: int, *, token: int
+    ) -> None:
+        """Sets the share of its work that a run may do, in percent."""
+
     @abstractmethod
     async def close(self) -> None:
         """Ends all connections."""
 
 
+@dataclass(frozen=True, slots=True)
+class Advice:
+    """Which workers may run a step.
+
+    Attributes:
+        tickets: What starts on the allowed workers must carry, by worker.
+        valid_s: Seconds for which the tickets hold.
+    """
+
+    tickets: dict[str, str]
+    valid_s: float
+
+
+class AdviceService(ABC):
+    """Knows which workers a queue's policy allows."""
+
+    @abstractmethod
+    async def ask(self, step: str, workers: Sequence[str]) -> Advice:
+        """Returns the tickets of the workers that may run a step.
+
+        Args:
+            step: Name of the step of an occurrence.
+            workers: Names of the workers in question.
+
+        Raises:
+            UnavailableError: If the service does not answer.
+        """
+
+
 class WorkerConnector(ABC):
     """Makes clients for workers."""
 
--- a/lagoonbeam/site/scheduler.py
+++ b/lagoonbeam/site/scheduler.py
@@ -11,6 +11,7 @@
 
 from lagoonbeam.core.health import HealthTracker
 from lagoonbeam.errors import LagoonbeamError, LogUncertainError
+from lagoonbeam.site.advice import AdviceBook
 from lagoonbeam.site.decisions import Decisions
 from lagoonbeam.site.journal import JournalAppender, JournalFollower
 from lagoonbeam.site.model import (
@@ -20,6 +21,7 @@
     QueuePolicy,
     WorkerReport,
 )
+from lagoonbeam.site.placement import get_step_id
 from lagoonbeam.site.planner import Planner
 from lagoonbeam.site.ports import (
     JournalStore,
@@ -85,6 +87,7 @@
         follower: The copy of the state.
         directory: The list of workers.
         connector: Makes clients for workers.
+        advice: Tickets for the workers that queues may use.
         writer: The term to write with.
         sequence: Number of its next append.
         get_configuration: Returns the configuration in force.
@@ -99,6 +102,7 @@
         follower: JournalFollower,
         directory: WorkerDirectory,
         connector: WorkerConnector,
+        advice: AdviceBook,
         writer: Writer,
         sequence: int,
         get_configuration: Callable[[], Configuration],
@@ -113,6 +117,7 @@
         self._follower = follower
         self._directory = directory
         self._connector = connector
+        self._advice = advice
         self._get_configuration = get_configuration
         self._bounds = bounds
         self._decisions = decisions
@@ -121,7 +126,7 @@
         )
         self._scope = anyio.CancelScope()
         self._wake = anyio.Event()
-        self._planner = Planner(decisions)
+        self._planner = Planner(decisions, advice)
         self._health = HealthTracker(
             time.monotonic,
             streak=FAILED_STREAK,
@@ -150,6 +155,8 @@
                 tasks.start_soon(self._keep_term)
                 tasks.start_soon(self._follow_directory)
                 tasks.start_soon(self._follow_journal)
+                tasks.start_soon(self._advice.run)
+                tasks.start_soon(self._follow_advice)
                 await self._plan_forever()
             tasks.cancel_scope.cancel()
 
@@ -207,6 +214,7 @@
 
     def note_refusal(self, session: WorkerSession, task: TaskState) -> None:
         """Stops the other members of a gang after a refused start."""
+        self._advice.drop(get_step_id(task.unit), session.worker)
         self._stop_unit(task.unit, f"a start at {session.worker} was refused")
         self._wake.set()
 
@@ -278,6 +286,11 @@
                 self.lose_term(f"term {self.state.term.number} was claimed")
             self._wake.set()
 
+    async def _follow_advice(self) -> None:
+        while True:
+            await self._advice.changed.wait()
+            self._wake.set()
+
     async def _follow_directory(self) -> None:
         while True:
             try:
@@ -386,7 +399,9 @@
             ):
                 session.forget_run(placement.task_id)
                 continue
-            self._tasks.start_soon(session.start_run, task, placement)
+            tickets = self._advice.get_tickets(get_step_id(task.unit))
+            ticket = tickets.get(placement.worker, "")
+            self._tasks.start_soon(session.start_run, task, placement, ticket)
 
     def _policy(self, job: JobEntry) -> QueuePolicy:
         """The policy in force for a job, or that of its acceptance."""
--- a/lagoonbeam/site/session.py
+++ b/lagoonbeam/site/session.py
@@ -17,13 +17,22 @@
     UnavailableError,
 )
 from lagoonbeam.site.decisions import Decisions
-from lagoonbeam.site.model import End, RunningTask, WorkerReport, WorkerView
+from lagoonbeam.site.model import (
+    End,
+    RunningTask,
+    Step,
+    WorkerReport,
+    WorkerView,
+)
+from lagoonbeam.site.pacing import Pacer
 from lagoonbeam.site.ports import StartOrder, StartRefusal, WorkerClient
 from lagoonbeam.site.records import Placement, RunEnd
 from lagoonbeam.site.state import SiteState, TaskState
 
 LOOK_WAIT_S = 1.0
 """Seconds one look waits for an end; a fraction of the shortest lease."""
+PACED_WAIT_S = 0.4
+"""Seconds one look waits while fillers run beside serving tasks."""
 DOUBT_WAIT_S = 0.1
 """Seconds one look waits while a start or stop is in doubt."""
 LOOK_RETRY_S = 0.2
@@ -148,6 +157,7 @@
         self._opened_s = time.monotonic()
         self._progress: dict[str, tuple[float, float]] = {}
         self._stalled_s = float("-inf")
+        self._pacer = Pacer()
         self._stops: dict[tuple[str, int], float] = {}
         self._stopped_s: dict[tuple[str, int], float] = {}
         self._tasks: anyio.abc.TaskGroup | None = None
@@ -202,13 +212,16 @@
             return elapsed_s
         return min(elapsed_s, CHECKPOINT_LOSS_S)
 
-    async def start_run(self, task: TaskState, placement: Placement) -> None:
+    async def start_run(
+        self, task: TaskState, placement: Placement, ticket: str
+    ) -> None:
         """Starts a run that the journal holds."""
         order = StartOrder(
             placement.task_id,
             placement.run,
             task.unit.job.request.payload,
             placement.checkpoint,
+            ticket,
         )
         outcome = "started"
         try:
@@ -297,6 +310,8 @@
         sent_s = time.monotonic()
         is_first = self._clock is None
         wait_s = DOUBT_WAIT_S if self._has_doubt() else LOOK_WAIT_S
+        if self._pacer.is_needed(self.running.values(), self._get_step):
+            wait_s = min(wait_s, PACED_WAIT_S)
         renews = self._may_renew()
         lapse_s = self._lapse_s
         try:
@@ -420,6 +435,31 @@
                 if refused is not None:
                     self._owner.note_refusal(self, refused)
         self._stop_unwanted()
+        await self._pace()
+
+    def _get_step(self, task_id: str) -> Step | None:
+        task = self._owner.state.tasks.get(task_id)
+        return None if task is None else task.unit.spec
+
+    async def _pace(self) -> None:
+        """Gives fillers the share that serving tasks beside them bear."""
+        running = self.running.values()
+        for run, percent in self._pacer.decide(running, self._get_step):
+            outcome = "done"
+            try:
+                await self._client.pace(
+                    run.task_id, run.run, percent, token=self._owner.token
+                )
+            except LagoonbeamError as error:
+                outcome = str(error)
+            self._decisions.emit(
+                "run.pace",
+                task=run.task_id,
+                run=run.run,
+                worker=self.worker,
+                percent=percent,
+                outcome=outcome,
+            )
 
     def _take_progress(self) -> None:
         """Notes which runs stand still, and stops those worth a new start."""
--- a/lagoonbeam/site/state.py
+++ b/lagoonbeam/site/state.py
@@ -339,7 +339,7 @@
     if end.end is End.FAILED and unit.failed_run != end.run:
         unit.failed_run = end.run if unit.spec.is_gang else 0
         unit.failures += 1
-    if end.end is not End.DONE or unit.is_done:
+    if end.end is not End.DONE or unit.is_done or unit.spec.is_long_running:
         return
     for member in unit.tasks:
         member.is_done = True
--- a/standins/platform_worker.py
+++ b/standins/platform_worker.py
@@ -166,6 +166,7 @@
                 "run": run.run,
                 "event": event,
                 "resumed": run.resumed,
+                "lasting": bool(run.spec.get("lasting")),
             }
         )
 
@@ -220,6 +221,8 @@
             await asyncio.sleep(_TICK_S)
         body = await request.json()
         name = request.path_params["name"]
+        if name == "advise":
+            return self._advise(body)
         expected = request.headers.get("x-lagoonbeam-expected-instance")
         if expected not in (None, worker.name):
             return Response(status_code=421)
@@ -261,6 +264,10 @@
         used = sum(r.spec.get("gpu", 0) for r in worker.runs.values())
         if used + spec.get("gpu", 0) > worker.room["gpu"]:
             return self._answer(worker, 409, reason="room")
+        if spec.get("advised") and body.get("ticket") != (
+            f"ticket-{worker.name}"
+        ):
+            return self._answer(worker, 409, reason="ticket")
         saved = body.get("checkpoint", "")
         work_s = float(spec["run_s"])
         begun = Run(task, run, spec, work_s, time.time(), resumed=saved)
@@ -269,6 +276,15 @@
         self.note(worker, begun, "started")
         return self._answer(worker)
 
+    def _advise(self, body: dict[str, Any]) -> Response:
+        """Allows every other worker."""
+        allowed = [
+            [name, f"ticket-{name}"]
+            for name in body["workers"]
+            if int(name[1:]) % 2
+        ]
+        return JSONResponse({"allowed": allowed, "valid_ms": 3000})
+
     def _stop(self, worker: Worker, body: dict[str, Any]) -> Response:
         task, run = body["task"], body["run"]
         present = worker.runs.get(task)
--- a/tests/test_site_promises.py
+++ b/tests/test_site_promises.py
@@ -10,6 +10,7 @@
 import pytest
 
 from harness.site import (
+    ADVISED_PREFIX,
     PREFIXES,
     Site,
     SitePlan,
@@ -295,6 +296,30 @@
     assert count_events(site.read_history(), path)["lapsed"] > 0
 
 
+def test_advised_job_runs_on_allowed_workers_only(site: Site) -> None:
+    path = site.submit(
+        [make_step(4)], spec={"advised": True}, prefix=ADVISED_PREFIX
+    )
+    assert site.wait_state(path) == "completed"
+    job = path.rsplit("/", 1)[1]
+    used = {
+        event["worker"]
+        for event in site.read_history()
+        if event["task"].startswith(job)
+    }
+    assert used <= {"w1", "w3"}
+
+
+def test_long_running_task_is_restarted_until_cancelled(site: Site) -> None:
+    path = site.submit(
+        [make_step(long_running=True)], spec={"run_s": 0.5, "lasting": True}
+    )
+    wait_until(lambda: count_started(site, path) >= 3)
+    assert site.wait_state(path, ("running",)) == "running"
+    assert site.call("DELETE", path).status_code == 200
+    site.wait_state(path, ("cancelled",))
+
+
 def test_jobs_survive_a_worker_that_fails_all(site: Site) -> None:
     site.call_worker(0, "faults", fail_all=True)
     try:
