--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 SEED ?= 1
 DURATION_S ?= 120
 
-.PHONY: setup demo test lint bench slopes plots soak load clean
+.PHONY: setup demo demo-zones mutations test lint bench slopes plots soak load clean
 
 setup: $(VENV)/.installed
 
@@ -15,6 +15,9 @@
 	touch $@
 
 demo: setup
+	$(BIN)/python -m harness.site_demo
+
+demo-zones: setup
 	$(BIN)/python -m harness.demo
 
 test: setup
