--- /dev/null
+++ b/lagoonbeam/core/http_server.py
@@ -0,0 +1,233 @@
+"""HTTP/1.1 for the hot paths: a small server, one task for each connection."""
+
+from __future__ import annotations
+
+import logging
+import time
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+
+import anyio
+import anyio.abc
+import httptools
+
+from lagoonbeam.core.http11 import READ_BYTES, Response, set_keep_alive
+
+WRITE_TIMEOUT_S = 5.0
+"""Seconds a client may take to read a response."""
+
+REASONS = {
+    200: "OK",
+    400: "Bad Request",
+    401: "Unauthorized",
+    404: "Not Found",
+    405: "Method Not Allowed",
+    409: "Conflict",
+    410: "Gone",
+    413: "Content Too Large",
+    429: "Too Many Requests",
+    431: "Request Header Fields Too Large",
+    500: "Internal Server Error",
+    503: "Service Unavailable",
+    504: "Gateway Timeout",
+}
+
+_LOGGER = logging.getLogger(__name__)
+
+
+@dataclass(slots=True)
+class Request:
+    """A call that arrived.
+
+    Attributes:
+        method: HTTP method.
+        target: Path and query as sent.
+        headers: Header fields by lower-case name.
+        body: The body.
+        received_s: Monotonic time at which its first byte was parsed.
+    """
+
+    method: str = ""
+    target: str = ""
+    headers: dict[str, str] = field(default_factory=dict)
+    body: bytes = b""
+    received_s: float = 0.0
+
+
+Handler = Callable[[Request], Awaitable[Response]]
+
+
+@dataclass(slots=True)
+class ServerLimits:
+    """Bounds on what clients may send; changed while the server runs.
+
+    Attributes:
+        header_bytes: Most bytes of header fields.
+        body_bytes: Most bytes of a body.
+        header_timeout_s: Longest time from a request's first byte to its end.
+        idle_timeout_s: Longest time between two requests of a connection.
+    """
+
+    header_bytes: int = 16_384
+    body_bytes: int = 262_144
+    header_timeout_s: float = 3.0
+    idle_timeout_s: float = 15.0
+
+
+class _RequestReader:
+    """Parses the requests of one connection."""
+
+    def __init__(self, stream: anyio.abc.SocketStream, limits: ServerLimits):
+        self._stream = stream
+        self._limits = limits
+        self._parser = httptools.HttpRequestParser(self)
+        self._request = Request()
+        self._body = bytearray()
+        self._header_bytes = 0
+        self._started = False
+        self._ready: list[Request] = []
+        self.too_large = 0
+
+    def on_message_begin(self) -> None:
+        self._request = Request(received_s=time.monotonic())
+        self._body = bytearray()
+        self._header_bytes = 0
+        self._started = True
+
+    def on_url(self, url: bytes) -> None:
+        self._request.target += url.decode("latin-1")
+        self._count(len(url))
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        self._count(len(name) + len(value))
+        key = name.decode("latin-1").lower()
+        self._request.headers[key] = value.decode("latin-1")
+
+    def on_body(self, data: bytes) -> None:
+        self._body += data
+        if len(self._body) > self._limits.body_bytes:
+            self.too_large = 413
+
+    def on_message_complete(self) -> None:
+        self._request.method = self._parser.get_method().decode("ascii")
+        self._request.body = bytes(self._body)
+        self._ready.append(self._request)
+        self._started = False
+
+    def _count(self, size: int) -> None:
+        self._header_bytes += size
+        if self._header_bytes > self._limits.header_bytes:
+            self.too_large = 431
+
+    async def read(self) -> Request | None:
+        """Returns the next request, or None when the connection ends."""
+        while not self._ready and not self.too_large:
+            limits = self._limits
+            timeout_s = (
+                limits.header_timeout_s
+                if self._started
+                else limits.idle_timeout_s
+            )
+            with anyio.move_on_after(timeout_s) as scope:
+                data = await self._stream.receive(READ_BYTES)
+            if scope.cancelled_caught:
+                return None
+            self._parser.feed_data(data)
+        return self._ready.pop(0) if self._ready else Request()
+
+
+class HttpServer:
+    """Serves HTTP/1.1; one task for each connection.
+
+    Args:
+        handler: Answers a request; it must not raise.
+        limits: Bounds on requests.
+    """
+
+    def __init__(self, handler: Handler, limits: ServerLimits | None = None):
+        self._handler = handler
+        self.limits = limits or ServerLimits()
+        self.draining = False
+        self.open_requests = 0
+        self._idle_scopes: set[anyio.CancelScope] = set()
+
+    async def serve(
+        self,
+        host: str,
+        port: int,
+        *,
+        task_status: anyio.abc.TaskStatus[int] = anyio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Listens until cancelled; reports the bound port when it does."""
+        listener = await anyio.create_tcp_listener(
+            local_host=host, local_port=port, backlog=512, reuse_port=False
+        )
+        task_status.started(
+            listener.extra(anyio.abc.SocketAttribute.local_port)
+        )
+        async with listener:
+            await listener.serve(self._serve_connection)
+
+    def drain(self) -> None:
+        """Ends idle connections; busy ones end after their response."""
+        self.draining = True
+        for scope in list(self._idle_scopes):
+            scope.cancel()
+
+    async def _serve_connection(self, stream: anyio.abc.SocketStream) -> None:
+        try:
+            set_keep_alive(stream)
+            reader = _RequestReader(stream, self.limits)
+            while True:
+                request = None
+                with anyio.CancelScope() as scope:
+                    self._idle_scopes.add(scope)
+                    try:
+                        request = await reader.read()
+                    finally:
+                        self._idle_scopes.discard(scope)
+                if request is None:
+                    return
+                if reader.too_large:
+                    await self._send(stream, Response(reader.too_large), False)
+                    return
+                self.open_requests += 1
+                try:
+                    response = await self._handler(request)
+                    wanted = request.headers.get("connection", "").lower()
+                    keep = wanted != "close" and not self.draining
+                    await self._send(stream, response, keep)
+                finally:
+                    self.open_requests -= 1
+                if not keep:
+                    return
+        except (
+            anyio.BrokenResourceError,
+            anyio.ClosedResourceError,
+            anyio.EndOfStream,
+            OSError,
+        ):
+            return
+        except httptools.HttpParserError as error:
+            _LOGGER.info("malformed request: %s", error)
+        finally:
+            with anyio.CancelScope(shield=True):
+                await anyio.aclose_forcefully(stream)
+
+    async def _send(
+        self, stream: anyio.abc.SocketStream, response: Response, keep: bool
+    ) -> None:
+        reason = REASONS.get(response.status, "Status")
+        lines = [f"HTTP/1.1 {response.status} {reason}"]
+        lines += [
+            f"{name}: {value}" for name, value in response.headers.items()
+        ]
+        if response.body:
+            lines.append("Content-Type: application/json")
+        lines.append(f"Content-Length: {len(response.body)}")
+        lines.append("Connection: keep-alive" if keep else "Connection: close")
+        head = "\r\n".join([*lines, "", ""]).encode("latin-1")
+        with anyio.move_on_after(WRITE_TIMEOUT_S):
+            await stream.send(head + response.body)
+            if not keep:
+                await stream.send_eof()
--- /dev/null
+++ b/lagoonbeam/site/plan_memory.py
@@ -0,0 +1,99 @@
+"""What lasts from one plan to the next."""
+
+from __future__ import annotations
+
+import time
+from dataclasses import dataclass
+
+from lagoonbeam.site.advice import AdviceBook
+from lagoonbeam.site.decisions import Decisions
+from lagoonbeam.site.durations import Durations
+from lagoonbeam.site.placement import Assignment
+from lagoonbeam.site.state import SiteState, UnitState
+
+EVICTION_S = 2.0
+"""Seconds that room is kept for a unit after its victims were stopped."""
+
+
+@dataclass(slots=True)
+class Reserved:
+    """Room kept for a unit whose victims are being stopped."""
+
+    unit: UnitState
+    assignment: Assignment
+    until_s: float
+
+
+class PlanMemory:
+    """What lasts from one plan to the next.
+
+    Args:
+        decisions: The decision log.
+        advice: Tickets for the workers that queues may use.
+    """
+
+    def __init__(self, decisions: Decisions, advice: AdviceBook | None = None):
+        self.durations = Durations()
+        self.launching: dict[str, Assignment] = {}
+        self.reserved: dict[str, Reserved] = {}
+        self.decisions = decisions
+        self.advice = advice
+        self._waiting: dict[str, int] = {}
+        self._avoided: dict[str, set[str]] = {}
+
+    def reserve(self, unit: UnitState, assignment: Assignment) -> None:
+        """Keeps room for a unit while its victims are stopped."""
+        until_s = time.monotonic() + EVICTION_S
+        self.reserved[unit.key] = Reserved(unit, assignment, until_s)
+
+    def drop_stale(self, state: SiteState) -> None:
+        """Forgets what concerns units that ended or waited too long."""
+        now_s = time.monotonic()
+        self.reserved = {
+            key: reserved
+            for key, reserved in self.reserved.items()
+            if reserved.until_s > now_s
+            and reserved.unit.job.is_open
+            and not reserved.unit.has_runs
+        }
+        self._avoided = {
+            key: workers
+            for key, workers in self._avoided.items()
+            if _is_open(state, key)
+        }
+        self._waiting = {
+            key: run
+            for key, run in self._waiting.items()
+            if _is_open(state, key)
+        }
+
+    def avoid(self, unit: UnitState, worker: str) -> None:
+        """Notes that a unit fared badly on a worker."""
+        self._avoided.setdefault(unit.key, set()).add(worker)
+
+    def get_avoided(self, unit: UnitState) -> frozenset[str]:
+        """Returns the workers on which a unit fared badly."""
+        return frozenset(self._avoided.get(unit.key, ()))
+
+    def note_waiting(self, unit: UnitState, **inputs: object) -> None:
+        """Writes once for each start why a unit could not be placed."""
+        if self._waiting.get(unit.key) == unit.next_run:
+            return
+        self._waiting[unit.key] = unit.next_run
+        step = unit.spec
+        self.decisions.emit(
+            "unit.waits",
+            task=unit.key,
+            run=unit.next_run,
+            tasks=len(unit.tasks),
+            accelerators=step.accelerators,
+            is_gang=step.is_gang,
+            is_one_rack=step.is_one_rack,
+            data_rack=step.data_rack,
+            **inputs,
+        )
+
+
+def _is_open(state: SiteState, key: str) -> bool:
+    task = state.tasks.get(key)
+    return task is not None and task.unit.job.is_open
--- a/lagoonbeam/site/planner.py
+++ b/lagoonbeam/site/planner.py
@@ -9,9 +9,7 @@
 from dataclasses import dataclass, field
 from itertools import chain
 
-from lagoonbeam.site.advice import AdviceBook
-from lagoonbeam.site.decisions import Decisions
-from lagoonbeam.site.durations import Durations, Earning
+from lagoonbeam.site.durations import Earning
 from lagoonbeam.site.guarantees import find_covered
 from lagoonbeam.site.model import Configuration, QueuePolicy
 from lagoonbeam.site.placement import (
@@ -27,6 +25,7 @@
     place_unit,
     step_key,
 )
+from lagoonbeam.site.plan_memory import PlanMemory
 from lagoonbeam.site.session import WorkerSession
 from lagoonbeam.site.state import JobEntry, SiteState, UnitState
 
@@ -47,8 +46,6 @@
 KEPT_FREE = {1: 0.1, 2: 0.2}
 """Part of the workers that work of a priority leaves free for urgent work,
 beside those that urgent work uses; lower priorities leave the last one."""
-EVICTION_S = 2.0
-"""Seconds that room is kept for a unit after its victims were stopped."""
 
 
 @dataclass(slots=True)
@@ -68,88 +65,24 @@
     is_cut_short: bool = False
 
 
-@dataclass(slots=True)
-class _Reserved:
-    """Room kept for a unit whose victims are being stopped."""
-
-    unit: UnitState
-    assignment: Assignment
-    until_s: float
-
-
-class Planner:
-    """Makes plans; keeps what lasts from one to the next.
+def make_plan(
+    memory: PlanMemory,
+    state: SiteState,
+    sessions: Mapping[str, WorkerSession],
+    usable: Mapping[str, WorkerSession],
+    configuration: Configuration,
+) -> Plan:
+    """Decides what starts now.
 
     Args:
-        decisions: The decision log.
-        advice: Tickets for the workers that queues may use.
+        memory: What lasts from one plan to the next.
+        state: The state in force.
+        sessions: All workers' sessions by name.
+        usable: Those that may get new runs.
+        configuration: The configuration in force.
     """
-
-    def __init__(self, decisions: Decisions, advice: AdviceBook | None = None):
-        self.durations = Durations()
-        self.launching: dict[str, Assignment] = {}
-        self.reserved: dict[str, _Reserved] = {}
-        self.decisions = decisions
-        self.advice = advice
-        self._waiting: dict[str, int] = {}
-        self._avoided: dict[str, set[str]] = {}
-
-    def make_plan(
-        self,
-        state: SiteState,
-        sessions: Mapping[str, WorkerSession],
-        usable: Mapping[str, WorkerSession],
-        configuration: Configuration,
-    ) -> Plan:
-        """Decides what starts now.
-
-        Args:
-            state: The state in force.
-            sessions: All workers' sessions by name.
-            usable: Those that may get new runs.
-            configuration: The configuration in force.
-        """
-        now_s = time.monotonic()
-        self.reserved = {
-            key: reserved
-            for key, reserved in self.reserved.items()
-            if reserved.until_s > now_s
-            and reserved.unit.job.is_open
-            and not reserved.unit.has_runs
-        }
-        self._avoided = {
-            key: workers
-            for key, workers in self._avoided.items()
-            if (task := state.tasks.get(key)) is not None
-            and task.unit.job.is_open
-        }
-        return _Pass(self, state, sessions, usable, configuration).run()
-
-    def avoid(self, unit: UnitState, worker: str) -> None:
-        """Notes that a unit fared badly on a worker."""
-        self._avoided.setdefault(unit.key, set()).add(worker)
-
-    def get_avoided(self, unit: UnitState) -> frozenset[str]:
-        """Returns the workers on which a unit fared badly."""
-        return frozenset(self._avoided.get(unit.key, ()))
-
-    def note_waiting(self, unit: UnitState, **inputs: object) -> None:
-        """Writes once for each start why a unit could not be placed."""
-        if self._waiting.get(unit.key) == unit.next_run:
-            return
-        self._waiting[unit.key] = unit.next_run
-        step = unit.spec
-        self.decisions.emit(
-            "unit.waits",
-            task=unit.key,
-            run=unit.next_run,
-            tasks=len(unit.tasks),
-            accelerators=step.accelerators,
-            is_gang=step.is_gang,
-            is_one_rack=step.is_one_rack,
-            data_rack=step.data_rack,
-            **inputs,
-        )
+    memory.drop_stale(state)
+    return _Pass(memory, state, sessions, usable, configuration).run()
 
 
 class _Pass:
@@ -157,13 +90,13 @@
 
     def __init__(
         self,
-        planner: Planner,
+        memory: PlanMemory,
         state: SiteState,
         sessions: Mapping[str, WorkerSession],
         usable: Mapping[str, WorkerSession],
         configuration: Configuration,
     ):
-        self._planner = planner
+        self._memory = memory
         self._state = state
         self._sessions = sessions
         self._usable = usable
@@ -203,7 +136,7 @@
             for _, worker in assignment:
                 self._rooms[worker].take(unit)
             self._plan.starts.append((unit, assignment))
-            self._planner.launching[unit.key] = assignment
+            self._memory.launching[unit.key] = assignment
         return self._plan
 
     def _policy(self, job: JobEntry) -> QueuePolicy:
@@ -217,14 +150,14 @@
 
     def _shape(self, unit: UnitState) -> tuple[object, ...]:
         """Identifies units that fit in the same places."""
-        if self._planner.get_avoided(unit):
+        if self._memory.get_avoided(unit):
             return (unit.key,)
-        if unit.key in self._planner.reserved or len(unit.tasks) > 1:
+        if unit.key in self._memory.reserved or len(unit.tasks) > 1:
             return (unit.key,)
         return (*step_key(unit),)
 
     def _find_ready(self) -> list[UnitState]:
-        launching = self._planner.launching
+        launching = self._memory.launching
         ready: list[UnitState] = []
         for job in self._state.open_jobs():
             for (occurrence, step), units in job.units.items():
@@ -245,7 +178,7 @@
     def _get_earning(self, unit: UnitState) -> Earning:
         key = step_key(unit)
         if key not in self._earnings:
-            self._earnings[key] = self._planner.durations.get_earning(
+            self._earnings[key] = self._memory.durations.get_earning(
                 unit, self._policy(unit.job), self._now_s
             )
         return self._earnings[key]
@@ -291,8 +224,8 @@
                     used = self._urgent_accelerators
                     used[policy.service] += unit.spec.accelerators
         promised = chain(
-            self._planner.launching.values(),
-            (r.assignment for r in self._planner.reserved.values()),
+            self._memory.launching.values(),
+            (r.assignment for r in self._memory.reserved.values()),
         )
         for task, worker in chain.from_iterable(promised):
             if worker in rooms:
@@ -302,7 +235,7 @@
     def _place(self, unit: UnitState) -> Assignment | None:
         policy = self._policy(unit.job)
         usable = self._by_service[policy.service]
-        reserved = self._planner.reserved.pop(unit.key, None)
+        reserved = self._memory.reserved.pop(unit.key, None)
         if reserved is not None:
             self._take(reserved.assignment, -1)
         allow_far = self._may_be_far(unit, usable)
@@ -312,7 +245,7 @@
             rooms = self._limit_lending(policy)
         if policy.is_advised:
             rooms = self._limit_to_advised(unit, rooms)
-        avoided = self._planner.get_avoided(unit)
+        avoided = self._memory.get_avoided(unit)
         if avoided:
             others = {n: room for n, room in rooms.items() if n not in avoided}
             assignment = place_unit(unit, others, allow_far=allow_far)
@@ -323,18 +256,18 @@
             return assignment
         if reserved is not None:
             self._take(reserved.assignment, 1)
-            self._planner.reserved[unit.key] = reserved
+            self._memory.reserved[unit.key] = reserved
         elif self._may_evict(unit, policy):
             self._evict(unit, rooms if policy.is_advised else usable, allow_far)
         elif unit.spec.is_gang and self._get_earning(unit) is Earning.FULL:
             self._keep_for(unit, policy, rooms)
-        self._planner.note_waiting(
+        self._memory.note_waiting(
             unit,
             priority=policy.priority,
             may_be_far=allow_far,
             workers=len(rooms),
             free_accelerators=sum(r.accelerators for r in rooms.values()),
-            evicting=unit.key in self._planner.reserved,
+            evicting=unit.key in self._memory.reserved,
         )
         return None
 
@@ -348,7 +281,7 @@
 
     def _limit_to_advised(self, unit: UnitState, rooms: Rooms) -> Rooms:
         """Returns the workers with a ticket, and asks about the others."""
-        advice = self._planner.advice
+        advice = self._memory.advice
         if advice is None:
             return rooms
         step = get_step_id(unit)
@@ -378,7 +311,7 @@
         return self._now_s - max(request.accepted_at_s, due_s)
 
     def _may_be_far(self, unit: UnitState, rooms: Rooms) -> bool:
-        run_s = self._planner.durations.estimate_s(unit)
+        run_s = self._memory.durations.estimate_s(unit)
         patience_s = min(FAR_AFTER_RUNS * run_s, LONGEST_PATIENCE_S)
         if self._is_idle(rooms):
             patience_s = min(patience_s, IDLE_PATIENCE_S)
@@ -464,9 +397,7 @@
         )
         if eviction is None:
             return
-        self._planner.reserved[unit.key] = _Reserved(
-            unit, eviction.assignment, time.monotonic() + EVICTION_S
-        )
+        self._memory.reserve(unit, eviction.assignment)
         self._take(eviction.assignment, 1)
         self._plan.lost_core_s += eviction.cost
         for victim in eviction.victims:
@@ -474,7 +405,7 @@
             for task in victim.tasks:
                 if task.placement is not None:
                     self._lent[task.placement.worker].pop(victim.key, None)
-        self._planner.decisions.emit(
+        self._memory.decisions.emit(
             "unit.evicts",
             task=unit.key,
             victims=[victim.key for victim in eviction.victims],
--- a/lagoonbeam/site/relay.py
+++ b/lagoonbeam/site/relay.py
@@ -8,7 +8,8 @@
 
 import msgspec
 
-from lagoonbeam.core.http11 import HttpClient, Request, Response
+from lagoonbeam.core.http11 import HttpClient, Response
+from lagoonbeam.core.http_server import Request
 from lagoonbeam.errors import (
     AnswerLostError,
     LagoonbeamError,
--- a/lagoonbeam/site/scheduler.py
+++ b/lagoonbeam/site/scheduler.py
@@ -22,7 +22,8 @@
     WorkerReport,
 )
 from lagoonbeam.site.placement import get_step_id
-from lagoonbeam.site.planner import Planner
+from lagoonbeam.site.plan_memory import PlanMemory
+from lagoonbeam.site.planner import make_plan
 from lagoonbeam.site.ports import (
     JournalStore,
     WorkerConnector,
@@ -126,7 +127,7 @@
         )
         self._scope = anyio.CancelScope()
         self._wake = anyio.Event()
-        self._planner = Planner(decisions, advice)
+        self._memory = PlanMemory(decisions, advice)
         self._health = HealthTracker(
             time.monotonic,
             streak=FAILED_STREAK,
@@ -231,10 +232,10 @@
             self._health.observe(session.worker, job_id, ok=True)
             if run_s is not None:
                 queue = task.unit.job.request.queue.name
-                self._planner.durations.note(queue, run_s)
+                self._memory.durations.note(queue, run_s)
         elif end is End.FAILED:
             self._health.observe(session.worker, job_id, ok=False)
-            self._planner.avoid(task.unit, session.worker)
+            self._memory.avoid(task.unit, session.worker)
             if self._health.is_blamed(session.worker):
                 self._decisions.emit(
                     "worker.quarantined", worker=session.worker, job=job_id
@@ -242,7 +243,7 @@
 
     def note_stall(self, session: WorkerSession, task: TaskState) -> None:
         """Stops a unit whose run stands still, and starts it elsewhere."""
-        self._planner.avoid(task.unit, session.worker)
+        self._memory.avoid(task.unit, session.worker)
         self._stop_unit(task.unit, f"stands still at {session.worker}")
 
     def is_wanted(self, task: TaskState) -> bool:
@@ -349,8 +350,12 @@
             if session.is_usable and not self._health.is_quarantined(name)
         }
         self._decisions.metrics.usable_workers.set(len(usable))
-        plan = self._planner.make_plan(
-            self.state, self.sessions, usable, self._get_configuration()
+        plan = make_plan(
+            self._memory,
+            self.state,
+            self.sessions,
+            usable,
+            self._get_configuration(),
         )
         self._decisions.metrics.lost_core_s.inc(plan.lost_core_s)
         for victim, unit in plan.stops:
@@ -384,7 +389,7 @@
         for placement in placements:
             task = self.state.tasks.get(placement.task_id)
             if task is not None:
-                self._planner.launching.pop(task.unit.key, None)
+                self._memory.launching.pop(task.unit.key, None)
         for placement in placements:
             task = self.state.tasks.get(placement.task_id)
             session = self.sessions.get(placement.worker)
--- a/lagoonbeam/site/session.py
+++ b/lagoonbeam/site/session.py
@@ -4,7 +4,6 @@
 
 import time
 from collections.abc import Sequence
-from dataclasses import dataclass
 from typing import Protocol
 
 import anyio
@@ -17,6 +16,7 @@
     UnavailableError,
 )
 from lagoonbeam.site.decisions import Decisions
+from lagoonbeam.site.lease import Lease
 from lagoonbeam.site.model import (
     End,
     RunningTask,
@@ -26,6 +26,7 @@
 )
 from lagoonbeam.site.pacing import Pacer
 from lagoonbeam.site.ports import StartOrder, StartRefusal, WorkerClient
+from lagoonbeam.site.progress import ProgressWatch
 from lagoonbeam.site.records import Placement, RunEnd
 from lagoonbeam.site.state import SiteState, TaskState
 
@@ -39,14 +40,9 @@
 """Seconds between two looks at a worker that does not answer."""
 STOP_RETRY_S = 1.5
 """Seconds after which a stop is ordered again; longer than a stop takes."""
-SLOWEST_CLOCK = 0.98
-"""Rate of the slowest worker clock, as the platform states."""
 CHECKPOINT_LOSS_S = 1.2
 """Seconds lost by stopping a run that saves its progress: half an interval
 of one second, and the time to restore."""
-STALL_S = 1.8
-"""Seconds without progress after which a run stands still; the shortest
-tasks advance by a percent in 25 ms, the longest in a tenth of a second."""
 STALL_PAUSE_S = 3.0
 """Seconds without new runs after a run stood still on a worker."""
 PATIENCE_S = 4.5
@@ -98,27 +94,6 @@
         """Whether a task's run should go on."""
 
 
-@dataclass(slots=True)
-class _Clock:
-    """A reading of the worker's steady clock.
-
-    Attributes:
-        worker_ms: What it showed.
-        read_s: Own monotonic time after the reading.
-    """
-
-    worker_ms: int
-    read_s: float
-
-    def estimate_ms(self) -> int:
-        return self.worker_ms + int((time.monotonic() - self.read_s) * 1000)
-
-    def passes_s(self, worker_ms: float) -> float:
-        """Own monotonic time by which it surely shows a time."""
-        left_s = (worker_ms - self.worker_ms) / 1000
-        return self.read_s + max(0.0, left_s) / SLOWEST_CLOCK
-
-
 class WorkerSession:
     """Keeps one incarnation of a worker's runs and its own view in step.
 
@@ -147,15 +122,13 @@
         self.room_refused_s = float("-inf")
         self._client = client
         self._owner = owner
-        self._lease_s = lease_s
         self._decisions = decisions
-        self._clock: _Clock | None = None
-        self._lapse_s = owner.foreign_lease_s
+        self._lease = Lease(lease_s, owner.foreign_lease_s)
         self._acknowledged = 0
         self._starting: set[str] = set()
         self._started_s: dict[str, float] = {}
         self._opened_s = time.monotonic()
-        self._progress: dict[str, tuple[float, float]] = {}
+        self._progress = ProgressWatch()
         self._stalled_s = float("-inf")
         self._pacer = Pacer()
         self._stops: dict[tuple[str, int], float] = {}
@@ -226,7 +199,7 @@
         outcome = "started"
         try:
             await self._client.start(
-                order, token=self._owner.token, deadline_ms=self._deadline_ms()
+                order, token=self._owner.token, deadline_ms=self._lease.grant()
             )
             self._started_s[placement.task_id] = time.monotonic()
         except FencedError:
@@ -280,13 +253,6 @@
     def _placed(self) -> list[TaskState]:
         return list(self._owner.state.placed.get(self.worker, {}).values())
 
-    def _deadline_ms(self) -> int:
-        """Deadline on the worker's clock for a lease that starts now."""
-        assert self._clock is not None
-        deadline_ms = self._clock.estimate_ms() + int(self._lease_s * 1000)
-        self._lapse_s = max(self._lapse_s, self._clock.passes_s(deadline_ms))
-        return deadline_ms
-
     def _may_renew(self) -> bool:
         """Whether the next look may renew leases.
 
@@ -294,7 +260,7 @@
         worker that stays silent must come to an end.
         """
         return (
-            self._clock is not None
+            self._lease.has_clock
             and self._owner.may_renew
             and not self.failed_looks
         )
@@ -308,17 +274,17 @@
 
     async def _look(self) -> None:
         sent_s = time.monotonic()
-        is_first = self._clock is None
+        is_first = not self._lease.has_clock
         wait_s = DOUBT_WAIT_S if self._has_doubt() else LOOK_WAIT_S
         if self._pacer.is_needed(self.running.values(), self._get_step):
             wait_s = min(wait_s, PACED_WAIT_S)
         renews = self._may_renew()
-        lapse_s = self._lapse_s
+        saved = self._lease.save()
         try:
             view = await self._client.look(
                 token=self._owner.token,
                 acknowledged=self._acknowledged,
-                deadline_ms=self._deadline_ms() if renews else None,
+                deadline_ms=self._lease.grant() if renews else None,
                 wait_s=0.0 if is_first else wait_s,
             )
         except FencedError:
@@ -326,7 +292,7 @@
             return
         except LagoonbeamError as error:
             if isinstance(error, ServerUnreachableError):
-                self._lapse_s = lapse_s
+                self._lease.restore(saved)
             await self._miss(error)
             return
         if self.failed_looks >= UNREACHABLE_LOOKS:
@@ -335,10 +301,7 @@
             )
             self._owner.note_usable(self)
         self.failed_looks = 0
-        self._clock = _Clock(view.clock_ms, time.monotonic())
-        if is_first:
-            longest_ms = view.clock_ms + self._lease_s * 1000
-            self._lapse_s = self._clock.passes_s(longest_ms)
+        self._lease.read_clock(view.clock_ms)
         known = self.report.incarnation
         if known and view.incarnation and view.incarnation != known:
             await self._end_restarted(view)
@@ -354,7 +317,7 @@
                 state="lost",
                 cause=str(error),
             )
-        if time.monotonic() > self._lapse_s:
+        if self._lease.has_lapsed:
             await self._end_lapsed()
         await anyio.sleep(LOOK_RETRY_S)
 
@@ -463,23 +426,12 @@
 
     def _take_progress(self) -> None:
         """Notes which runs stand still, and stops those worth a new start."""
-        now_s = time.monotonic()
-        known = self._progress
-        self._progress = {
-            key: old
-            if (old := known.get(key)) is not None and old[0] == run.percent
-            else (run.percent, now_s)
-            for key, run in self.running.items()
-        }
         tasks = self._owner.state.tasks
-        for key, (percent, since_s) in self._progress.items():
+        for key, still_s in self._progress.find_stalled(self.running).items():
             task = tasks.get(key)
-            still_s = now_s - since_s
-            if percent >= 100 or still_s < STALL_S or task is None:
-                continue
-            if task.unit.spec.is_long_running:
+            if task is None or task.unit.spec.is_long_running:
                 continue
-            self._stalled_s = now_s
+            self._stalled_s = time.monotonic()
             if still_s > PATIENCE_S or self.get_lost_s(task) < PATIENCE_S:
                 self._owner.note_stall(self, task)
 
--- a/tests/adapters/test_decoders.py
+++ b/tests/adapters/test_decoders.py
@@ -10,7 +10,7 @@
 from lagoonbeam_platform.boot import load_boot, split_address
 from lagoonbeam_platform.configuration import decode_configuration
 from lagoonbeam_platform.front import decode_job
-from lagoonbeam_platform.store import decode_page, split_keyed
+from lagoonbeam_platform.store_calls import decode_page, split_keyed
 from lagoonbeam_platform.workers import decode_report, decode_view
 
 from lagoonbeam.errors import (
--- a/tests/site/test_planner.py
+++ b/tests/site/test_planner.py
@@ -9,7 +9,8 @@
 from lagoonbeam.site.guarantees import find_covered
 from lagoonbeam.site.model import End, Step
 from lagoonbeam.site.placement import make_room, place_unit
-from lagoonbeam.site.planner import Plan, Planner
+from lagoonbeam.site.plan_memory import PlanMemory
+from lagoonbeam.site.planner import Plan, make_plan
 from lagoonbeam.site.records import RunEnd, RunsEnded
 from lagoonbeam.site.state import SiteState
 from tests.site.builders import (
@@ -35,8 +36,8 @@
 
 
 def plan(state: SiteState, sessions: dict[str, Any]) -> Plan:
-    planner = Planner(Decisions("n0", "z1", descriptor=2))
-    return planner.make_plan(state, sessions, sessions, make_configuration())
+    memory = PlanMemory(Decisions("n0", "z1", descriptor=2))
+    return make_plan(memory, state, sessions, sessions, make_configuration())
 
 
 def now_job(job_id: str, *steps: Step, **fields: Any) -> Any:
@@ -116,15 +117,15 @@
 def test_room_of_victims_is_kept_for_the_urgent_unit() -> None:
     state = SiteState()
     sessions = make_sessions(1)
-    planner = Planner(Decisions("n0", "z1", descriptor=2))
+    memory = PlanMemory(Decisions("n0", "z1", descriptor=2))
     configuration = make_configuration()
     (lent,) = accept(state, now_job("l", WHOLE))
     place(state, lent, "w0")
     accept(state, now_job("u", WHOLE, priority=0))
-    planner.make_plan(state, sessions, sessions, configuration)
+    make_plan(memory, state, sessions, sessions, configuration)
     state.apply(RunsEnded((RunEnd(lent.key, 1, End.STOPPED),)))
     accept(state, now_job("v", WHOLE))
-    made = planner.make_plan(state, sessions, sessions, configuration)
+    made = make_plan(memory, state, sessions, sessions, configuration)
     assert [unit.key for unit, _ in made.starts] == ["u.0.0.0"]
 
 
@@ -136,12 +137,12 @@
 
 def test_units_in_launch_take_room_and_are_not_planned_twice() -> None:
     state = SiteState()
-    planner = Planner(Decisions("n0", "z1", descriptor=2))
+    memory = PlanMemory(Decisions("n0", "z1", descriptor=2))
     accept(state, now_job("a", WHOLE, priority=0))
     accept(state, now_job("b", WHOLE, priority=0))
     sessions = make_sessions(1)
-    first = planner.make_plan(state, sessions, sessions, make_configuration())
-    again = planner.make_plan(state, sessions, sessions, make_configuration())
+    first = make_plan(memory, state, sessions, sessions, make_configuration())
+    again = make_plan(memory, state, sessions, sessions, make_configuration())
     assert len(first.starts) == 1
     assert not again.starts
 
@@ -186,20 +187,20 @@
 def test_unit_that_failed_on_a_worker_goes_to_another() -> None:
     state = SiteState()
     (unit,) = accept(state, now_job("a", WHOLE, priority=0))
-    planner = Planner(Decisions("n0", "z1", descriptor=2))
+    memory = PlanMemory(Decisions("n0", "z1", descriptor=2))
     sessions = make_sessions(2)
-    planner.avoid(unit, "w0")
-    made = planner.make_plan(state, sessions, sessions, make_configuration())
+    memory.avoid(unit, "w0")
+    made = make_plan(memory, state, sessions, sessions, make_configuration())
     assert workers_of(made) == ["w1"]
 
 
 def test_unit_that_failed_everywhere_may_still_start() -> None:
     state = SiteState()
     (unit,) = accept(state, now_job("a", WHOLE, priority=0))
-    planner = Planner(Decisions("n0", "z1", descriptor=2))
+    memory = PlanMemory(Decisions("n0", "z1", descriptor=2))
     sessions = make_sessions(1)
-    planner.avoid(unit, "w0")
-    made = planner.make_plan(state, sessions, sessions, make_configuration())
+    memory.avoid(unit, "w0")
+    made = make_plan(memory, state, sessions, sessions, make_configuration())
     assert workers_of(made) == ["w0"]
 
 
