--- /dev/null
+++ b/lagoonbeam/site/fleet.py
@@ -0,0 +1,124 @@
+"""The sessions with all listed workers."""
+
+from __future__ import annotations
+
+import time
+
+import anyio
+import anyio.abc
+
+from lagoonbeam.core.health import HealthTracker
+from lagoonbeam.errors import LagoonbeamError
+from lagoonbeam.site.decisions import Decisions
+from lagoonbeam.site.model import WorkerReport
+from lagoonbeam.site.owner import Owner
+from lagoonbeam.site.ports import WorkerConnector, WorkerDirectory
+from lagoonbeam.site.session import WorkerSession
+from lagoonbeam.site.state import TaskState
+
+DIRECTORY_S = 0.4
+"""Seconds between two readings of the list of workers; a leaving worker is
+known within a fifth of the two seconds after which it must get no work."""
+FAILED_STREAK = 2
+"""Different jobs failed in a row on one worker, while others do well, that
+put it into quarantine."""
+QUARANTINE_S = 4.0
+"""First quarantine of a worker; doubles each time its probe fails."""
+LONGEST_QUARANTINE_S = 60.0
+"""Longest quarantine of a worker."""
+
+
+class Fleet:
+    """Keeps a session with each worker of the directory.
+
+    Args:
+        directory: The list of workers.
+        connector: Makes clients for workers.
+        owner: The scheduler.
+        lease_s: Seconds of each lease.
+        decisions: The decision log.
+    """
+
+    def __init__(
+        self,
+        directory: WorkerDirectory,
+        connector: WorkerConnector,
+        owner: Owner,
+        *,
+        lease_s: float,
+        decisions: Decisions,
+    ):
+        self.sessions: dict[str, WorkerSession] = {}
+        self.health = HealthTracker(
+            time.monotonic,
+            streak=FAILED_STREAK,
+            first_pause_s=QUARANTINE_S,
+            max_pause_s=LONGEST_QUARANTINE_S,
+        )
+        self._directory = directory
+        self._connector = connector
+        self._owner = owner
+        self._lease_s = lease_s
+        self._decisions = decisions
+
+    def get_usable(self) -> dict[str, WorkerSession]:
+        """Returns the sessions with workers that may get new runs."""
+        return {
+            name: session
+            for name, session in self.sessions.items()
+            if session.is_usable and not self.health.is_quarantined(name)
+        }
+
+    def find_doomed(self) -> list[tuple[str, TaskState]]:
+        """Returns runs that their worker will not let end, with its name."""
+        return [
+            (name, task)
+            for name, session in self.sessions.items()
+            if session.report.is_draining
+            for task in session.find_doomed()
+        ]
+
+    async def run(self) -> None:
+        """Follows the directory until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            while True:
+                try:
+                    reports = await self._directory.list_workers()
+                except LagoonbeamError:
+                    await anyio.sleep(DIRECTORY_S)
+                    continue
+                self._update(reports)
+                for name, report in reports.items():
+                    if name not in self.sessions:
+                        session = self._open_session(report)
+                        tasks.start_soon(self._run_session, session)
+                await anyio.sleep(DIRECTORY_S)
+
+    def _update(self, reports: dict[str, WorkerReport]) -> None:
+        for name, session in list(self.sessions.items()):
+            report = reports.get(name)
+            if report is None:
+                session.is_listed = False
+            elif report.incarnation == session.report.incarnation:
+                session.take_report(report)
+            else:
+                session.close()
+                del self.sessions[name]
+
+    def _open_session(self, report: WorkerReport) -> WorkerSession:
+        session = WorkerSession(
+            report,
+            self._connector.connect(report),
+            self._owner,
+            lease_s=self._lease_s,
+            decisions=self._decisions,
+        )
+        self.sessions[report.worker] = session
+        return session
+
+    async def _run_session(self, session: WorkerSession) -> None:
+        try:
+            await session.run()
+        finally:
+            if self.sessions.get(session.worker) is session:
+                del self.sessions[session.worker]
--- /dev/null
+++ b/lagoonbeam/site/lending.py
@@ -0,0 +1,108 @@
+"""What less urgent work may use: the workers lent to it, and those kept."""
+
+from __future__ import annotations
+
+import math
+from collections import defaultdict
+from collections.abc import Mapping
+from itertools import chain
+
+from lagoonbeam.site.model import QueuePolicy
+from lagoonbeam.site.placement import Room, Rooms, is_suited
+from lagoonbeam.site.state import UnitState
+
+KEPT_FREE = {1: 0.1, 2: 0.2}
+"""Part of the workers that work of a priority leaves free for urgent work,
+beside those that urgent work uses; lower priorities leave the last one."""
+
+
+class Lending:
+    """Bounds less urgent work during one plan.
+
+    Args:
+        by_service: Usable workers' room by service.
+    """
+
+    def __init__(self, by_service: Mapping[str, Rooms]):
+        self._by_service = by_service
+        self._allowed: dict[tuple[str, int], Rooms] = {}
+        self._kept: dict[int, set[str]] = defaultdict(set)
+        self.lent: dict[str, dict[str, UnitState]] = defaultdict(dict)
+        self.urgent_accelerators: dict[str, int] = defaultdict(int)
+
+    def note_run(
+        self, worker: str, unit: UnitState, policy: QueuePolicy
+    ) -> None:
+        """Takes a run into account; long-running tasks are never lent."""
+        if unit.spec.is_long_running:
+            return
+        if policy.priority > 0:
+            self.lent[worker][unit.key] = unit
+        else:
+            used = unit.spec.accelerators
+            self.urgent_accelerators[policy.service] += used
+
+    def get_allowed(self, policy: QueuePolicy) -> Rooms:
+        """Returns the workers that less urgent work may use.
+
+        Workers that run such work already come first, then whole racks in a
+        fixed order, so that the rest stays free for urgent work.
+        """
+        key = (policy.service, policy.priority)
+        if key not in self._allowed:
+            self._allowed[key] = self._choose(policy)
+        kept = set(
+            chain.from_iterable(
+                names
+                for priority, names in self._kept.items()
+                if priority < policy.priority
+            )
+        )
+        rooms = self._allowed[key]
+        if not kept:
+            return rooms
+        return {name: room for name, room in rooms.items() if name not in kept}
+
+    def keep_for(
+        self, unit: UnitState, policy: QueuePolicy, rooms: Rooms
+    ) -> None:
+        """Keeps a rack from less urgent work for the first waiting gang."""
+        kept = self._kept[policy.priority]
+        if kept:
+            return
+        racks: dict[str, list[Room]] = defaultdict(list)
+        for room in rooms.values():
+            if is_suited(room.report, unit.spec):
+                racks[room.report.rack].append(room)
+        if racks:
+            count = len(unit.tasks)
+            best = max(
+                racks.values(),
+                key=lambda rack: sum(
+                    room.count_fitting(unit, count) for room in rack
+                ),
+            )
+            kept.update(room.report.worker for room in best)
+
+    def take_back(self, unit: UnitState) -> None:
+        """Notes that a unit is being stopped."""
+        for task in unit.tasks:
+            if task.placement is not None:
+                self.lent[task.placement.worker].pop(unit.key, None)
+
+    def _choose(self, policy: QueuePolicy) -> Rooms:
+        rooms = self._by_service[policy.service]
+        share = KEPT_FREE.get(policy.priority, KEPT_FREE[max(KEPT_FREE)])
+        sizes = [room.report.accelerators for room in rooms.values()]
+        urgent = self.urgent_accelerators[policy.service]
+        used = urgent / max(1, max(sizes, default=1))
+        most = max(1, math.floor((1 - share) * len(rooms) - used))
+        by_use = sorted(
+            rooms,
+            key=lambda name: (
+                not self.lent.get(name),
+                rooms[name].report.rack,
+                name,
+            ),
+        )
+        return {name: rooms[name] for name in by_use[:most]}
--- a/lagoonbeam/site/planner.py
+++ b/lagoonbeam/site/planner.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import math
 import time
 from collections import defaultdict
 from collections.abc import Callable, Mapping
@@ -11,11 +10,11 @@
 
 from lagoonbeam.site.durations import Earning
 from lagoonbeam.site.guarantees import find_covered
+from lagoonbeam.site.lending import Lending
 from lagoonbeam.site.model import Configuration, QueuePolicy
 from lagoonbeam.site.placement import (
     ACCELERATOR_CORES,
     Assignment,
-    Room,
     Rooms,
     could_be_near,
     find_eviction,
@@ -43,9 +42,6 @@
 IDLE_PATIENCE_S = 2.0
 """Longest such wait while less than half of the capacity is in use; then
 work that could run must not wait for three seconds."""
-KEPT_FREE = {1: 0.1, 2: 0.2}
-"""Part of the workers that work of a priority leaves free for urgent work,
-beside those that urgent work uses; lower priorities leave the last one."""
 
 
 @dataclass(slots=True)
@@ -105,14 +101,11 @@
         self._policies: dict[str, QueuePolicy] = {}
         self._earnings: dict[tuple[str, int, int], Earning] = {}
         self._full: set[tuple[object, ...]] = set()
-        self._lent: dict[str, dict[str, UnitState]] = defaultdict(dict)
-        self._urgent_accelerators: dict[str, int] = defaultdict(int)
-        self._kept: dict[int, set[str]] = defaultdict(set)
-        self._rooms = self._measure_rooms()
         self._by_service: dict[str, Rooms] = defaultdict(dict)
+        self._lending = Lending(self._by_service)
+        self._rooms = self._measure_rooms()
         for name, room in self._rooms.items():
             self._by_service[room.report.service][name] = room
-        self._lending: dict[tuple[str, int], Rooms] = {}
         self._near: dict[tuple[str, int, int], bool] = {}
         self._plan = Plan()
 
@@ -215,14 +208,7 @@
             for task in self._state.placed.get(name, {}).values():
                 unit = task.unit
                 room.take(unit)
-                policy = self._policy(unit.job)
-                if unit.spec.is_long_running:
-                    continue
-                if policy.priority > 0:
-                    self._lent[name][unit.key] = unit
-                else:
-                    used = self._urgent_accelerators
-                    used[policy.service] += unit.spec.accelerators
+                self._lending.note_run(name, unit, self._policy(unit.job))
         promised = chain(
             self._memory.launching.values(),
             (r.assignment for r in self._memory.reserved.values()),
@@ -242,7 +228,7 @@
         rooms = usable
         has_waited = self._get_wait_s(unit) > IDLE_PATIENCE_S
         if policy.priority > 0 and not (has_waited and self._is_idle(usable)):
-            rooms = self._limit_lending(policy)
+            rooms = self._lending.get_allowed(policy)
         if policy.is_advised:
             rooms = self._limit_to_advised(unit, rooms)
         avoided = self._memory.get_avoided(unit)
@@ -260,7 +246,7 @@
         elif self._may_evict(unit, policy):
             self._evict(unit, rooms if policy.is_advised else usable, allow_far)
         elif unit.spec.is_gang and self._get_earning(unit) is Earning.FULL:
-            self._keep_for(unit, policy, rooms)
+            self._lending.keep_for(unit, policy, rooms)
         self._memory.note_waiting(
             unit,
             priority=policy.priority,
@@ -332,65 +318,10 @@
             2 * free_millis > sum(r.cpu_millis for r in whole)
         )
 
-    def _limit_lending(self, policy: QueuePolicy) -> Rooms:
-        """Returns the workers that less urgent work may use.
-
-        Workers that run such work already come first, then whole racks in a
-        fixed order, so that the rest stays free for urgent work.
-        """
-        key = (policy.service, policy.priority)
-        if key not in self._lending:
-            rooms = self._by_service[policy.service]
-            share = KEPT_FREE.get(policy.priority, KEPT_FREE[max(KEPT_FREE)])
-            sizes = [room.report.accelerators for room in rooms.values()]
-            urgent = self._urgent_accelerators[policy.service]
-            used = urgent / max(1, max(sizes, default=1))
-            most = max(1, math.floor((1 - share) * len(rooms) - used))
-            by_use = sorted(
-                rooms,
-                key=lambda name: (
-                    not self._lent.get(name),
-                    rooms[name].report.rack,
-                    name,
-                ),
-            )
-            self._lending[key] = {name: rooms[name] for name in by_use[:most]}
-        kept = set(
-            chain.from_iterable(
-                names
-                for priority, names in self._kept.items()
-                if priority < policy.priority
-            )
-        )
-        rooms = self._lending[key]
-        if not kept:
-            return rooms
-        return {name: room for name, room in rooms.items() if name not in kept}
-
-    def _keep_for(
-        self, unit: UnitState, policy: QueuePolicy, rooms: Rooms
-    ) -> None:
-        """Keeps a rack from less urgent work for the first waiting gang."""
-        kept = self._kept[policy.priority]
-        if kept:
-            return
-        racks: dict[str, list[Room]] = defaultdict(list)
-        for room in rooms.values():
-            if is_suited(room.report, unit.spec):
-                racks[room.report.rack].append(room)
-        if racks:
-            count = len(unit.tasks)
-            best = max(
-                racks.values(),
-                key=lambda rack: sum(
-                    r.count_fitting(unit, count) for r in rack
-                ),
-            )
-            kept.update(room.report.worker for room in best)
-
     def _evict(self, unit: UnitState, rooms: Rooms, allow_far: bool) -> None:
         lent = {
-            worker: list(units.values()) for worker, units in self._lent.items()
+            worker: list(units.values())
+            for worker, units in self._lending.lent.items()
         }
         eviction = find_eviction(
             unit, rooms, lent, self._make_cost(), allow_far=allow_far
@@ -402,9 +333,7 @@
         self._plan.lost_core_s += eviction.cost
         for victim in eviction.victims:
             self._plan.stops.append((victim, unit))
-            for task in victim.tasks:
-                if task.placement is not None:
-                    self._lent[task.placement.worker].pop(victim.key, None)
+            self._lending.take_back(victim)
         self._memory.decisions.emit(
             "unit.evicts",
             task=unit.key,
@@ -422,7 +351,7 @@
                 cores = step.cpu_millis / 1000
                 cores += ACCELERATOR_CORES * step.accelerators
                 lost_s = sum(
-                    session.get_lost_s(task)
+                    session.orders.get_lost_s(task)
                     for task in unit.tasks
                     if task.placement is not None
                     and (session := self._sessions.get(task.placement.worker))
--- a/lagoonbeam/site/scheduler.py
+++ b/lagoonbeam/site/scheduler.py
@@ -9,18 +9,12 @@
 import anyio
 import anyio.abc
 
-from lagoonbeam.core.health import HealthTracker
 from lagoonbeam.errors import LagoonbeamError, LogUncertainError
 from lagoonbeam.site.advice import AdviceBook
 from lagoonbeam.site.decisions import Decisions
+from lagoonbeam.site.fleet import Fleet
 from lagoonbeam.site.journal import JournalAppender, JournalFollower
-from lagoonbeam.site.model import (
-    Configuration,
-    End,
-    JobState,
-    QueuePolicy,
-    WorkerReport,
-)
+from lagoonbeam.site.model import Configuration, End, JobState, QueuePolicy
 from lagoonbeam.site.placement import get_step_id
 from lagoonbeam.site.plan_memory import PlanMemory
 from lagoonbeam.site.planner import make_plan
@@ -40,14 +34,10 @@
     TermRenewed,
     TermResigned,
 )
-from lagoonbeam.site.session import WorkerSession
 from lagoonbeam.site.state import JobEntry, SiteState, TaskState, UnitState
 
 RENEW_S = 0.4
 """Seconds between two signs of life in the journal."""
-DIRECTORY_S = 0.4
-"""Seconds between two readings of the list of workers; a leaving worker is
-known within a fifth of the two seconds after which it must get no work."""
 PLAN_S = 0.25
 """Longest time between two plans."""
 APPEND_TIMEOUT_S = 10.0
@@ -56,13 +46,6 @@
 """Seconds without the store for which an active scheduler renews leases."""
 PLAN_PAUSE_S = 0.01
 """Shortest time between two plans; what comes in between is planned once."""
-FAILED_STREAK = 2
-"""Different jobs failed in a row on one worker, while others do well, that
-put it into quarantine."""
-QUARANTINE_S = 4.0
-"""First quarantine of a worker; doubles each time its probe fails."""
-LONGEST_QUARANTINE_S = 60.0
-"""Longest quarantine of a worker."""
 SNAPSHOT_SHARE = 0.25
 """Part of the store's history after which a snapshot is written."""
 
@@ -114,10 +97,14 @@
         self.foreign_lease_s = (
             time.monotonic() + AUTHORITY_S + bounds.lease_s * 1.03
         )
-        self.sessions: dict[str, WorkerSession] = {}
+        self._fleet = Fleet(
+            directory,
+            connector,
+            self,
+            lease_s=bounds.lease_s,
+            decisions=decisions,
+        )
         self._follower = follower
-        self._directory = directory
-        self._connector = connector
         self._advice = advice
         self._get_configuration = get_configuration
         self._bounds = bounds
@@ -128,12 +115,6 @@
         self._scope = anyio.CancelScope()
         self._wake = anyio.Event()
         self._memory = PlanMemory(decisions, advice)
-        self._health = HealthTracker(
-            time.monotonic,
-            streak=FAILED_STREAK,
-            first_pause_s=QUARANTINE_S,
-            max_pause_s=LONGEST_QUARANTINE_S,
-        )
         self._snapshot_s = time.monotonic()
         self._tasks: anyio.abc.TaskGroup | None = None
 
@@ -154,7 +135,7 @@
             with self._scope:
                 tasks.start_soon(self._append)
                 tasks.start_soon(self._keep_term)
-                tasks.start_soon(self._follow_directory)
+                tasks.start_soon(self._fleet.run)
                 tasks.start_soon(self._follow_journal)
                 tasks.start_soon(self._advice.run)
                 tasks.start_soon(self._follow_advice)
@@ -209,19 +190,19 @@
             **inputs,
         )
 
-    def note_usable(self, session: WorkerSession) -> None:
+    def note_usable(self, worker: str) -> None:
         """Plans again after a worker became usable."""
         self._wake.set()
 
-    def note_refusal(self, session: WorkerSession, task: TaskState) -> None:
+    def note_refusal(self, worker: str, task: TaskState) -> None:
         """Stops the other members of a gang after a refused start."""
-        self._advice.drop(get_step_id(task.unit), session.worker)
-        self._stop_unit(task.unit, f"a start at {session.worker} was refused")
+        self._advice.drop(get_step_id(task.unit), worker)
+        self._stop_unit(task.unit, f"a start at {worker} was refused")
         self._wake.set()
 
     def note_end(
         self,
-        session: WorkerSession,
+        worker: str,
         task: TaskState,
         end: End,
         run_s: float | None,
@@ -229,22 +210,22 @@
         """Learns from the end of a run that is the task's present one."""
         job_id = task.unit.job.request.job_id
         if end is End.DONE:
-            self._health.observe(session.worker, job_id, ok=True)
+            self._fleet.health.observe(worker, job_id, ok=True)
             if run_s is not None:
                 queue = task.unit.job.request.queue.name
                 self._memory.durations.note(queue, run_s)
         elif end is End.FAILED:
-            self._health.observe(session.worker, job_id, ok=False)
-            self._memory.avoid(task.unit, session.worker)
-            if self._health.is_blamed(session.worker):
+            self._fleet.health.observe(worker, job_id, ok=False)
+            self._memory.avoid(task.unit, worker)
+            if self._fleet.health.is_blamed(worker):
                 self._decisions.emit(
-                    "worker.quarantined", worker=session.worker, job=job_id
+                    "worker.quarantined", worker=worker, job=job_id
                 )
 
-    def note_stall(self, session: WorkerSession, task: TaskState) -> None:
+    def note_stall(self, worker: str, task: TaskState) -> None:
         """Stops a unit whose run stands still, and starts it elsewhere."""
-        self._memory.avoid(task.unit, session.worker)
-        self._stop_unit(task.unit, f"stands still at {session.worker}")
+        self._memory.avoid(task.unit, worker)
+        self._stop_unit(task.unit, f"stands still at {worker}")
 
     def is_wanted(self, task: TaskState) -> bool:
         """Whether a task's run should go on."""
@@ -280,58 +261,17 @@
         except LagoonbeamError as error:
             self._decisions.emit("snapshot.failed", cause=str(error))
 
-    async def _follow_journal(self) -> None:
-        while True:
-            await self._follower.wait_change()
-            if self.state.term.number > self.token:
-                self.lose_term(f"term {self.state.term.number} was claimed")
-            self._wake.set()
-
     async def _follow_advice(self) -> None:
         while True:
             await self._advice.changed.wait()
             self._wake.set()
 
-    async def _follow_directory(self) -> None:
+    async def _follow_journal(self) -> None:
         while True:
-            try:
-                reports = await self._directory.list_workers()
-            except LagoonbeamError:
-                await anyio.sleep(DIRECTORY_S)
-                continue
-            for name, session in list(self.sessions.items()):
-                report = reports.get(name)
-                if report is None:
-                    session.is_listed = False
-                elif report.incarnation == session.report.incarnation:
-                    session.report = report
-                    session.is_listed = True
-                else:
-                    session.close()
-                    del self.sessions[name]
-            for name, report in reports.items():
-                if name not in self.sessions and self._tasks is not None:
-                    self._open_session(report)
-            await anyio.sleep(DIRECTORY_S)
-
-    def _open_session(self, report: WorkerReport) -> None:
-        assert self._tasks is not None
-        session = WorkerSession(
-            report,
-            self._connector.connect(report),
-            self,
-            lease_s=self._bounds.lease_s,
-            decisions=self._decisions,
-        )
-        self.sessions[report.worker] = session
-        self._tasks.start_soon(self._run_session, session)
-
-    async def _run_session(self, session: WorkerSession) -> None:
-        try:
-            await session.run()
-        finally:
-            if self.sessions.get(session.worker) is session:
-                del self.sessions[session.worker]
+            await self._follower.wait_change()
+            if self.state.term.number > self.token:
+                self.lose_term(f"term {self.state.term.number} was claimed")
+            self._wake.set()
 
     async def _plan_forever(self) -> None:
         while True:
@@ -340,20 +280,18 @@
             self._wake = anyio.Event()
             await self._end_lost_workers()
             await self._fail_jobs()
+            for worker, task in self._fleet.find_doomed():
+                self._stop_unit(task.unit, f"{worker} leaves before its end")
             self._plan()
             await anyio.sleep(PLAN_PAUSE_S)
 
     def _plan(self) -> None:
-        usable = {
-            name: session
-            for name, session in self.sessions.items()
-            if session.is_usable and not self._health.is_quarantined(name)
-        }
+        usable = self._fleet.get_usable()
         self._decisions.metrics.usable_workers.set(len(usable))
         plan = make_plan(
             self._memory,
             self.state,
-            self.sessions,
+            self._fleet.sessions,
             usable,
             self._get_configuration(),
         )
@@ -368,8 +306,8 @@
             self._decisions.metrics.start_s.observe(max(0.0, now_s - due_s))
             run = unit.next_run
             for task, worker in assignment:
-                session = self.sessions[worker]
-                session.expect_run(task.task_id)
+                session = self._fleet.sessions[worker]
+                session.orders.expect_run(task.task_id)
                 placements.append(
                     Placement(
                         task.task_id,
@@ -392,7 +330,7 @@
                 self._memory.launching.pop(task.unit.key, None)
         for placement in placements:
             task = self.state.tasks.get(placement.task_id)
-            session = self.sessions.get(placement.worker)
+            session = self._fleet.sessions.get(placement.worker)
             if session is None or self._tasks is None:
                 continue
             if (
@@ -402,11 +340,13 @@
                 or not task.unit.job.is_open
                 or session.report.incarnation != placement.incarnation
             ):
-                session.forget_run(placement.task_id)
+                session.orders.forget_run(placement.task_id)
                 continue
             tickets = self._advice.get_tickets(get_step_id(task.unit))
             ticket = tickets.get(placement.worker, "")
-            self._tasks.start_soon(session.start_run, task, placement, ticket)
+            self._tasks.start_soon(
+                session.orders.start_run, task, placement, ticket
+            )
 
     def _policy(self, job: JobEntry) -> QueuePolicy:
         """The policy in force for a job, or that of its acceptance."""
@@ -418,9 +358,9 @@
             placement = task.placement
             if placement is None:
                 continue
-            session = self.sessions.get(placement.worker)
+            session = self._fleet.sessions.get(placement.worker)
             if session is not None:
-                session.order_stop(task.task_id, placement.run, cause)
+                session.orders.order_stop(task.task_id, placement.run, cause)
 
     async def _fail_jobs(self) -> None:
         failed = []
@@ -452,7 +392,7 @@
         ends = [
             RunEnd(task.task_id, task.run, End.LAPSED)
             for worker, tasks in self.state.placed.items()
-            if worker not in self.sessions
+            if worker not in self._fleet.sessions
             for task in tasks.values()
         ]
         if ends:
--- a/lagoonbeam/site/session.py
+++ b/lagoonbeam/site/session.py
@@ -3,8 +3,6 @@
 from __future__ import annotations
 
 import time
-from collections.abc import Sequence
-from typing import Protocol
 
 import anyio
 import anyio.abc
@@ -13,7 +11,6 @@
     FencedError,
     LagoonbeamError,
     ServerUnreachableError,
-    UnavailableError,
 )
 from lagoonbeam.site.decisions import Decisions
 from lagoonbeam.site.lease import Lease
@@ -24,11 +21,13 @@
     WorkerReport,
     WorkerView,
 )
+from lagoonbeam.site.orders import RunOrders
+from lagoonbeam.site.owner import Owner
 from lagoonbeam.site.pacing import Pacer
-from lagoonbeam.site.ports import StartOrder, StartRefusal, WorkerClient
+from lagoonbeam.site.ports import WorkerClient
 from lagoonbeam.site.progress import ProgressWatch
-from lagoonbeam.site.records import Placement, RunEnd
-from lagoonbeam.site.state import SiteState, TaskState
+from lagoonbeam.site.records import RunEnd
+from lagoonbeam.site.state import TaskState
 
 LOOK_WAIT_S = 1.0
 """Seconds one look waits for an end; a fraction of the shortest lease."""
@@ -38,62 +37,18 @@
 """Seconds one look waits while a start or stop is in doubt."""
 LOOK_RETRY_S = 0.2
 """Seconds between two looks at a worker that does not answer."""
-STOP_RETRY_S = 1.5
-"""Seconds after which a stop is ordered again; longer than a stop takes."""
-CHECKPOINT_LOSS_S = 1.2
-"""Seconds lost by stopping a run that saves its progress: half an interval
-of one second, and the time to restore."""
 STALL_PAUSE_S = 3.0
 """Seconds without new runs after a run stood still on a worker."""
 PATIENCE_S = 4.5
 """Seconds of work or of standing still that a new start elsewhere is worth;
 most workers that stand still go on after five seconds or more."""
+LEAVING_S = 1.5
+"""Seconds before its worker leaves at which a run that saves its progress is
+stopped, and by which others must overrun to be stopped at once."""
 UNREACHABLE_LOOKS = 2
 """Failed looks in a row after which a worker gets no new runs."""
 
 
-class Owner(Protocol):
-    """What a session needs of its scheduler."""
-
-    token: int
-    foreign_lease_s: float
-
-    @property
-    def state(self) -> SiteState:
-        """The state in force."""
-
-    @property
-    def may_renew(self) -> bool:
-        """Whether leases may still be renewed."""
-
-    async def end_runs(self, ends: Sequence[RunEnd]) -> bool:
-        """Journals ends; returns whether they are stored."""
-
-    def lose_term(self, cause: str) -> None:
-        """Stops scheduling: a newer term exists."""
-
-    def note_usable(self, session: WorkerSession) -> None:
-        """Plans again after a worker became usable."""
-
-    def note_stall(self, session: WorkerSession, task: TaskState) -> None:
-        """Stops a unit whose run stands still."""
-
-    def note_refusal(self, session: WorkerSession, task: TaskState) -> None:
-        """Gives up the rest of a unit after a refused start."""
-
-    def note_end(
-        self,
-        session: WorkerSession,
-        task: TaskState,
-        end: End,
-        run_s: float | None,
-    ) -> None:
-        """Learns from the end of a run that is the task's present one."""
-
-    def is_wanted(self, task: TaskState) -> bool:
-        """Whether a task's run should go on."""
-
-
 class WorkerSession:
     """Keeps one incarnation of a worker's runs and its own view in step.
 
@@ -119,21 +74,18 @@
         self.running: dict[str, RunningTask] = {}
         self.is_looked_at = False
         self.failed_looks = 0
-        self.room_refused_s = float("-inf")
         self._client = client
         self._owner = owner
         self._decisions = decisions
         self._lease = Lease(lease_s, owner.foreign_lease_s)
+        self.orders = RunOrders(
+            report.worker, client, self._lease, owner, decisions
+        )
         self._acknowledged = 0
-        self._starting: set[str] = set()
-        self._started_s: dict[str, float] = {}
-        self._opened_s = time.monotonic()
         self._progress = ProgressWatch()
         self._stalled_s = float("-inf")
+        self._reported_s = time.monotonic()
         self._pacer = Pacer()
-        self._stops: dict[tuple[str, int], float] = {}
-        self._stopped_s: dict[tuple[str, int], float] = {}
-        self._tasks: anyio.abc.TaskGroup | None = None
         self._scope = anyio.CancelScope()
 
     @property
@@ -152,11 +104,42 @@
             and time.monotonic() - self._stalled_s > STALL_PAUSE_S
         )
 
+    def take_report(self, report: WorkerReport) -> None:
+        """Notes what the worker says of itself."""
+        if report is not self.report:
+            self._reported_s = time.monotonic()
+        self.report = report
+        self.is_listed = True
+
+    def find_doomed(self) -> list[TaskState]:
+        """Returns runs that will not end before the worker leaves.
+
+        Those that save their progress go on until shortly before.
+        """
+        left_s = self.report.drain_remaining_s
+        left_s -= time.monotonic() - self._reported_s
+        if self.report.drain_remaining_s <= 0:
+            return []
+        doomed = []
+        for task in self._placed():
+            running = self.running.get(task.task_id)
+            step = task.unit.spec
+            if running is None or step.is_long_running:
+                continue
+            spent_s = self.orders.get_elapsed_s(task)
+            share = running.percent / 100
+            needed_s = spent_s * (1 - share) / share if share else left_s
+            if step.is_checkpointing and left_s > LEAVING_S:
+                continue
+            if needed_s > left_s + LEAVING_S:
+                doomed.append(task)
+        return doomed
+
     async def run(self) -> None:
         """Looks at the worker until closed or settled after it left."""
         try:
             async with anyio.create_task_group() as tasks:
-                self._tasks = tasks
+                self.orders.tasks = tasks
                 with self._scope:
                     while self.is_listed or self._placed():
                         await self._look()
@@ -169,87 +152,6 @@
         """Ends the session."""
         self._scope.cancel()
 
-    def expect_run(self, task_id: str) -> None:
-        """Notes that a run is being journaled and will be started."""
-        self._starting.add(task_id)
-
-    def forget_run(self, task_id: str) -> None:
-        """Notes that an expected run will not be started."""
-        self._starting.discard(task_id)
-
-    def get_lost_s(self, task: TaskState) -> float:
-        """Returns the seconds of work that a stop of a run throws away."""
-        started_s = self._started_s.get(task.task_id, self._opened_s)
-        elapsed_s = time.monotonic() - started_s
-        if not task.unit.spec.is_checkpointing:
-            return elapsed_s
-        return min(elapsed_s, CHECKPOINT_LOSS_S)
-
-    async def start_run(
-        self, task: TaskState, placement: Placement, ticket: str
-    ) -> None:
-        """Starts a run that the journal holds."""
-        order = StartOrder(
-            placement.task_id,
-            placement.run,
-            task.unit.job.request.payload,
-            placement.checkpoint,
-            ticket,
-        )
-        outcome = "started"
-        try:
-            await self._client.start(
-                order, token=self._owner.token, deadline_ms=self._lease.grant()
-            )
-            self._started_s[placement.task_id] = time.monotonic()
-        except FencedError:
-            self._owner.lose_term(f"worker {self.worker} has a newer token")
-            return
-        except StartRefusal as refusal:
-            outcome = f"refused: {refusal.reason}"
-            if refusal.reason == "room":
-                self.room_refused_s = time.monotonic()
-            end = RunEnd(placement.task_id, placement.run, End.NEVER_STARTED)
-            await self._owner.end_runs([end])
-            self._owner.note_refusal(self, task)
-        except UnavailableError as error:
-            outcome = f"in doubt: {error}"
-            self.failed_looks += 1
-        finally:
-            self._starting.discard(placement.task_id)
-            kind = outcome.partition(":")[0]
-            self._decisions.metrics.starts.labels(kind).inc()
-            self._decisions.emit(
-                "run.start",
-                task=placement.task_id,
-                run=placement.run,
-                worker=self.worker,
-                term=self._owner.token,
-                outcome=outcome,
-            )
-
-    def order_stop(self, task_id: str, run: int, cause: str) -> None:
-        """Stops a run, unless that was ordered a moment ago."""
-        key = (task_id, run)
-        now_s = time.monotonic()
-        if self._stops.get(key, 0.0) > now_s or self._tasks is None:
-            return
-        self._stops[key] = now_s + STOP_RETRY_S
-        self._decisions.emit(
-            "run.stop", task=task_id, run=run, worker=self.worker, cause=cause
-        )
-        self._tasks.start_soon(self._stop, task_id, run)
-
-    async def _stop(self, task_id: str, run: int) -> None:
-        try:
-            await self._client.stop(task_id, run, token=self._owner.token)
-        except FencedError:
-            self._owner.lose_term(f"worker {self.worker} has a newer token")
-        except LagoonbeamError:
-            self._stops[task_id, run] = time.monotonic() + LOOK_RETRY_S
-        else:
-            self._stopped_s[task_id, run] = time.monotonic()
-
     def _placed(self) -> list[TaskState]:
         return list(self._owner.state.placed.get(self.worker, {}).values())
 
@@ -268,7 +170,7 @@
     def _has_doubt(self) -> bool:
         return any(
             task.task_id not in self.running
-            and task.task_id not in self._starting
+            and not self.orders.is_starting(task.task_id)
             for task in self._placed()
         )
 
@@ -299,7 +201,7 @@
             self._decisions.emit(
                 "dependency", name=f"worker {self.worker}", state="regained"
             )
-            self._owner.note_usable(self)
+            self._owner.note_usable(self.worker)
         self.failed_looks = 0
         self._lease.read_clock(view.clock_ms)
         known = self.report.incarnation
@@ -330,7 +232,7 @@
                 self._saved(task.task_id),
             )
             for task in self._placed()
-            if task.task_id not in self._starting
+            if not self.orders.is_starting(task.task_id)
         ]
         if ends:
             self._decisions.emit(
@@ -353,7 +255,7 @@
                 task.task_id, task.run, End.LAPSED, self._saved(task.task_id)
             )
             for task in self._placed()
-            if task.task_id not in self._starting
+            if not self.orders.is_starting(task.task_id)
             and task.task_id not in listed
             and task.placement is not None
             and task.placement.incarnation != view.incarnation
@@ -373,30 +275,30 @@
         self._take_progress()
         if not self.is_looked_at:
             self.is_looked_at = True
-            self._owner.note_usable(self)
+            self._owner.note_usable(self.worker)
         await self._take_finished(view)
         ended = {(end.task_id, end.run) for end in view.finished}
         never: list[RunEnd] = []
         for task in self._placed():
             key = (task.task_id, task.run)
             if (
-                task.task_id in self._starting
+                self.orders.is_starting(task.task_id)
                 or task.task_id in self.running
                 or key in ended
-                or self._started_s.get(task.task_id, 0.0) > sent_s
+                or self.orders.was_started_after(task.task_id, sent_s)
             ):
                 continue
-            if self._stopped_s.get(key, float("inf")) < sent_s:
+            if self.orders.was_stopped_before(*key, sent_s):
                 never.append(RunEnd(*key, End.NEVER_STARTED))
             else:
-                self.order_stop(*key, "not listed by the worker")
+                self.orders.order_stop(*key, "not listed by the worker")
         if never:
             await self._owner.end_runs(never)
             for end in never:
-                self._forget_order(end.task_id, end.run)
+                self.orders.forget_order(end.task_id, end.run)
                 refused = self._owner.state.tasks.get(end.task_id)
                 if refused is not None:
-                    self._owner.note_refusal(self, refused)
+                    self._owner.note_refusal(self.worker, refused)
         self._stop_unwanted()
         await self._pace()
 
@@ -432,8 +334,11 @@
             if task is None or task.unit.spec.is_long_running:
                 continue
             self._stalled_s = time.monotonic()
-            if still_s > PATIENCE_S or self.get_lost_s(task) < PATIENCE_S:
-                self._owner.note_stall(self, task)
+            if (
+                still_s > PATIENCE_S
+                or self.orders.get_lost_s(task) < PATIENCE_S
+            ):
+                self._owner.note_stall(self.worker, task)
 
     async def _take_finished(self, view: WorkerView) -> None:
         new = [e for e in view.finished if e.number > self._acknowledged]
@@ -450,11 +355,11 @@
         ]
         now_s = time.monotonic()
         for end in new:
-            started_s = self._forget_order(end.task_id, end.run)
+            started_s = self.orders.forget_order(end.task_id, end.run)
             ended = tasks.get(end.task_id)
             if ended is not None and ended.run == end.run:
                 run_s = None if started_s is None else now_s - started_s
-                self._owner.note_end(self, ended, end.end, run_s)
+                self._owner.note_end(self.worker, ended, end.end, run_s)
             self._decisions.emit(
                 "run.ended",
                 task=end.task_id,
@@ -466,12 +371,6 @@
             return
         self._acknowledged = max(end.number for end in new)
 
-    def _forget_order(self, task_id: str, run: int) -> float | None:
-        """Drops what was noted of a run; returns when it was started."""
-        self._stops.pop((task_id, run), None)
-        self._stopped_s.pop((task_id, run), None)
-        return self._started_s.pop(task_id, None)
-
     def _stop_unwanted(self) -> None:
         tasks = self._owner.state.tasks
         for running in self.running.values():
@@ -488,4 +387,4 @@
                 cause = f"job is {task.unit.job.state.value}"
             else:
                 continue
-            self.order_stop(running.task_id, running.run, cause)
+            self.orders.order_stop(running.task_id, running.run, cause)
--- a/standins/platform_worker.py
+++ b/standins/platform_worker.py
@@ -109,6 +109,7 @@
             "capacity": self.room,
             "labels": ["a", self.rack],
             "born": self.born,
+            "drain_remaining_ms": 2500 if self.faults.draining else 0,
         }
 
     def end(self, run: Run, how: str) -> None:
--- a/tests/test_site_promises.py
+++ b/tests/test_site_promises.py
@@ -320,6 +320,27 @@
     site.wait_state(path, ("cancelled",))
 
 
+def test_runs_that_outlast_a_leaving_worker_move_at_once(site: Site) -> None:
+    path = site.submit([make_step(2)], spec={"run_s": 9.0})
+    wait_until(lambda: count_started(site, path) == 2)
+    leaving = int(site.read_history()[-1]["worker"][1:])
+    time.sleep(0.5)
+    site.call_worker(leaving, "faults", draining=True)
+    try:
+        wait_until(lambda: count_started(site, path) > 2, 4.0)
+        late = [
+            event["at_s"]
+            for event in site.read_history()
+            if event["event"] == "started"
+            and event["worker"] == f"w{leaving}"
+            and event["at_s"] > time.time() - 1.0
+        ]
+        assert not late
+    finally:
+        site.call_worker(leaving, "faults", draining=False)
+        site.call("DELETE", path)
+
+
 def test_jobs_survive_a_worker_that_fails_all(site: Site) -> None:
     site.call_worker(0, "faults", fail_all=True)
     try:
