Placements in records that fit the store; settings are read anew on SIGHUP

Cause: 40 gangs of 94 placed at once would not fit one record; SIGHUP wrote a line and read nothing. Change: 500 placements a record; a reload applies seeds and names what changed, or keeps the old settings with the reason.

--- a/lagoonbeam/site/records.py
+++ b/lagoonbeam/site/records.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
 from typing import TypeAlias
 
 import msgspec
@@ -9,6 +10,9 @@
 from lagoonbeam.errors import MalformedAnswerError
 from lagoonbeam.site.model import End, JobRequest
 
+RECORD_PLACEMENTS = 500
+"""Most placements of one record; one takes up to 200 bytes of 262,144."""
+
 
 class _Record(msgspec.Struct, frozen=True, array_like=True):
     """Base of all records."""
@@ -93,6 +97,15 @@
     placements: tuple[Placement, ...]
 
 
+def split_placements(placements: Sequence[Placement]) -> list[RunsPlaced]:
+    """Returns placements in records that fit the store."""
+    starts = range(0, len(placements), RECORD_PLACEMENTS)
+    return [
+        RunsPlaced(tuple(placements[start : start + RECORD_PLACEMENTS]))
+        for start in starts
+    ]
+
+
 class RunEnd(_Record, frozen=True):
     """One run that certainly exists no longer.
 
--- a/lagoonbeam/site/relay.py
+++ b/lagoonbeam/site/relay.py
@@ -67,7 +67,7 @@
     def __init__(self, own_host: str, port: int, seeds: tuple[str, ...]):
         self._own_host = own_host
         self._port = port
-        self._seeds = seeds
+        self.seeds = seeds
         self._clients: dict[str, HttpClient] = {}
         self._paused: dict[str, float] = {}
         self._last_host = ""
@@ -104,7 +104,7 @@
     def _choose_hosts(self) -> list[str]:
         """Returns peers that may be asked, the last that helped first."""
         now_s = time.monotonic()
-        hosts = {*self._seeds, *self.peers()} - {self._own_host}
+        hosts = {*self.seeds, *self.peers()} - {self._own_host}
         able = [h for h in hosts if self._paused.get(h, 0.0) <= now_s]
         random.shuffle(able)
         return sorted(able, key=lambda host: host != self._last_host)
--- a/lagoonbeam/site/scheduler.py
+++ b/lagoonbeam/site/scheduler.py
@@ -30,9 +30,9 @@
     Record,
     RunEnd,
     RunsEnded,
-    RunsPlaced,
     TermRenewed,
     TermResigned,
+    split_placements,
 )
 from lagoonbeam.site.state import JobEntry, SiteState, TaskState, UnitState
 
@@ -323,7 +323,7 @@
             self._wake.set()
 
     async def _launch(self, placements: list[Placement]) -> None:
-        stored = await self._journal([RunsPlaced(tuple(placements))])
+        stored = await self._journal(split_placements(placements))
         for placement in placements:
             task = self.state.tasks.get(placement.task_id)
             if task is not None:
--- a/tests/site/test_state.py
+++ b/tests/site/test_state.py
@@ -10,12 +10,14 @@
     JobAccepted,
     JobCancelled,
     JobFailed,
+    Placement,
     RunEnd,
     RunsEnded,
     TermClaimed,
     TermResigned,
     decode_record,
     encode_record,
+    split_placements,
 )
 from lagoonbeam.site.snapshot import decode_state, encode_state
 from lagoonbeam.site.state import SiteState
@@ -145,6 +147,14 @@
     }
 
 
+def test_many_placements_fit_the_records_of_the_store() -> None:
+    task_id = "5c0e7a21d94b36f8.10.10.1000"
+    one = Placement(task_id, 1000, "i-7f3a91c2aa", 2**41, "c" * 64)
+    records = split_placements([one] * 3760)
+    assert sum(len(record.placements) for record in records) == 3760
+    assert max(len(encode_record(record)) for record in records) < 262_144
+
+
 def test_record_survives_its_encoding() -> None:
     record = JobAccepted(make_job("a", Step(count=2, data_rack="r1")))
     assert decode_record(encode_record(record)) == record
--- a/tests/test_site_promises.py
+++ b/tests/test_site_promises.py
@@ -121,6 +121,30 @@
     site.call("DELETE", lent)
 
 
+def test_broken_settings_are_refused_and_the_old_ones_kept(
+    site: Site,
+) -> None:
+    settings = site.folder / "n2.yaml"
+    good = settings.read_text()
+    settings.write_text("{")
+    site.signal("n2", signal.SIGHUP)
+
+    def read_outcomes() -> list[str]:
+        return [
+            line["outcome"]
+            for line in site.read_log("n2")
+            if line["event"] == "settings.reload"
+        ]
+
+    wait_until(lambda: len(read_outcomes()) == 1)
+    settings.write_text(good)
+    site.signal("n2", signal.SIGHUP)
+    wait_until(lambda: len(read_outcomes()) == 2)
+    assert read_outcomes()[0].startswith("kept: ")
+    assert read_outcomes()[1] == "in force"
+    site.wait_state(site.submit([make_step()], name="n2"))
+
+
 def test_unknown_job_queue_and_key(site: Site) -> None:
     job = PREFIXES[0] + "0123456789abcdef"
     assert site.call("GET", job).status_code == 410
