--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 SEED ?= 1
 DURATION_S ?= 120
 
-.PHONY: setup demo demo-zones mutations test lint bench slopes plots soak load clean
+.PHONY: setup demo demo-zones mutations rounds test lint bench slopes plots soak load clean
 
 setup: $(VENV)/.installed
 
@@ -48,5 +48,8 @@
 	$(BIN)/python -m benchmarks.plots build-bench.out
 	rm build-bench.out
 
+rounds: setup
+	$(BIN)/python -m benchmarks.rounds
+
 load: setup
 	$(BIN)/python -m harness.load
--- /dev/null
+++ b/benchmarks/rounds.py
@@ -0,0 +1,74 @@
+"""``make rounds``: worth and prices by round, from the bench's journal.
+
+Reads all entries of full scores in ``journal`` and draws, for each site, the
+worth of each standard day and the sum of its prices into ``docs/plots``.
+"""
+
+from __future__ import annotations
+
+import json
+from collections import defaultdict
+from pathlib import Path
+from typing import Any
+
+import matplotlib
+
+matplotlib.use("svg")
+from matplotlib import pyplot  # noqa: E402
+
+ROOT = Path(__file__).parent.parent
+FOLDER = ROOT / "docs" / "plots"
+
+
+def read_rounds(folder: Path) -> dict[str, list[dict[str, Any]]]:
+    """Returns the journal's full scores by site, oldest first."""
+    rounds: dict[str, list[dict[str, Any]]] = defaultdict(list)
+    for path in sorted(folder.glob("*.json")):
+        entry = json.loads(path.read_text())
+        if entry["cmd"] == "score" and entry.get("score") is not None:
+            rounds[entry["site"]].append(entry)
+    return rounds
+
+
+def draw_site(site: str, rounds: list[dict[str, Any]]) -> None:
+    """Draws one site's rounds: worth above, prices below."""
+    days = [d["name"] for d in rounds[-1]["days"] if d["slot"] != "fresh"]
+    figure, (upper, lower) = pyplot.subplots(2, 1, figsize=(9, 7), sharex=True)
+    numbers = range(1, len(rounds) + 1)
+    for name in days:
+        found = [_find_day(entry, name) for entry in rounds]
+        worth = [day["G"] if day else None for day in found]
+        upper.plot(numbers, worth, marker="o", label=name)
+        lower.plot(numbers, [_sum_prices(day) for day in found], marker="o")
+    upper.set_ylabel("worth")
+    lower.set_ylabel("prices")
+    lower.set_xlabel("round")
+    upper.legend(fontsize=7)
+    upper.set_title(site)
+    figure.tight_layout()
+    figure.savefig(FOLDER / f"rounds-{site}.svg", metadata={"Date": None})
+    pyplot.close(figure)
+
+
+def _find_day(entry: dict[str, Any], name: str) -> dict[str, Any] | None:
+    return next((d for d in entry["days"] if d["name"] == name), None)
+
+
+def _sum_prices(day: dict[str, Any] | None) -> float | None:
+    if day is None:
+        return None
+    return float(sum(price for _, _, price in day["prices"]))
+
+
+def main() -> None:
+    """Draws all sites and prints a row for each round."""
+    FOLDER.mkdir(exist_ok=True)
+    for site, rounds in read_rounds(ROOT / "journal").items():
+        draw_site(site, rounds)
+        for entry in rounds:
+            gate = "passed" if entry["figures"].get("gate") else "failed"
+            print(f"{site} {entry['score']:.3f} {gate} {entry['why']}")
+
+
+if __name__ == "__main__":
+    main()
