An instance goes on after an append of open fate; ages count suspended time

Cause (found by reading, then test_instance_appends_again_after_a_long_silence, red first): after 12 s without any answer of the store an instance's writer ended for good, so it refused all submissions until restarted. Ages were taken from a clock that stands still while a machine is suspended. Change: the instance goes on under a new writer's name, since no batch may follow one of open fate; the batch is told as uncertain. Ages of the copy and of the authority use CLOCK_BOOTTIME. appender.py and bounds.py are split off.

--- a/lagoonbeam/core/clock.py
+++ b/lagoonbeam/core/clock.py
@@ -1,4 +1,4 @@
-"""A hybrid logical clock: wall time that never runs against causality."""
+"""A hybrid logical clock, and a steady one that suspension does not stop."""
 
 from __future__ import annotations
 
@@ -7,6 +7,15 @@
 from dataclasses import dataclass
 
 
+def read_clock_s() -> float:
+    """Returns a steady time in seconds that also counts suspended time.
+
+    After a suspension, what was believed before it is seen to be old.
+    """
+    clock = getattr(time, "CLOCK_BOOTTIME", time.CLOCK_MONOTONIC)
+    return time.clock_gettime(clock)
+
+
 @dataclass(frozen=True, order=True)
 class Stamp:
     """A point on the time line.
--- /dev/null
+++ b/lagoonbeam/site/bounds.py
@@ -0,0 +1,18 @@
+"""Times that the platform gives the scheduler."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class SchedulerBounds:
+    """Times that the platform gives.
+
+    Attributes:
+        lease_s: Longest lease of a run.
+        history_s: How long the store keeps records.
+    """
+
+    lease_s: float
+    history_s: float
--- a/lagoonbeam/site/node.py
+++ b/lagoonbeam/site/node.py
@@ -11,13 +11,10 @@
 
 from lagoonbeam.errors import LagoonbeamError
 from lagoonbeam.site.advice import AdviceBook
+from lagoonbeam.site.appender import JournalAppender, claim_term
+from lagoonbeam.site.bounds import SchedulerBounds
 from lagoonbeam.site.decisions import Decisions
-from lagoonbeam.site.journal import (
-    JournalAppender,
-    JournalFollower,
-    claim_term,
-    jitter,
-)
+from lagoonbeam.site.journal import JournalFollower, jitter
 from lagoonbeam.site.ports import (
     AdviceService,
     ConfigurationSource,
@@ -27,7 +24,7 @@
     Writer,
 )
 from lagoonbeam.site.records import InstanceJoined
-from lagoonbeam.site.scheduler import Scheduler, SchedulerBounds
+from lagoonbeam.site.scheduler import Scheduler
 from lagoonbeam.site.service import JobService
 
 SCHEDULER_WRITER = "scheduler"
--- a/lagoonbeam/site/scheduler.py
+++ b/lagoonbeam/site/scheduler.py
@@ -4,16 +4,18 @@
 
 import time
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass
 
 import anyio
 import anyio.abc
 
+from lagoonbeam.core.clock import read_clock_s
 from lagoonbeam.errors import LagoonbeamError, LogUncertainError
 from lagoonbeam.site.advice import AdviceBook
+from lagoonbeam.site.appender import JournalAppender
+from lagoonbeam.site.bounds import SchedulerBounds
 from lagoonbeam.site.decisions import Decisions
 from lagoonbeam.site.fleet import Fleet
-from lagoonbeam.site.journal import JournalAppender, JournalFollower
+from lagoonbeam.site.journal import JournalFollower
 from lagoonbeam.site.model import Configuration, End, JobState, QueuePolicy
 from lagoonbeam.site.placement import get_step_id
 from lagoonbeam.site.plan_memory import PlanMemory
@@ -44,25 +46,15 @@
 """Seconds to wait for the journal; the runs concerned stay as they are."""
 AUTHORITY_S = 8.0
 """Seconds without the store for which an active scheduler renews leases."""
+FOREIGN_LEASE_FACTOR = 1.03
+"""Longest time of an earlier term's lease, in leases; worker clocks may be
+2 % slow."""
 PLAN_PAUSE_S = 0.01
 """Shortest time between two plans; what comes in between is planned once."""
 SNAPSHOT_SHARE = 0.25
 """Part of the store's history after which a snapshot is written."""
 
 
-@dataclass(frozen=True, slots=True)
-class SchedulerBounds:
-    """Times that the platform gives.
-
-    Attributes:
-        lease_s: Longest lease of a run.
-        history_s: How long the store keeps records.
-    """
-
-    lease_s: float
-    history_s: float
-
-
 class Scheduler:
     """Schedules while its term lasts.
 
@@ -95,7 +87,9 @@
     ):
         self.token = writer.epoch
         self.foreign_lease_s = (
-            time.monotonic() + AUTHORITY_S + bounds.lease_s * 1.03
+            time.monotonic()
+            + AUTHORITY_S
+            + bounds.lease_s * FOREIGN_LEASE_FACTOR
         )
         self._fleet = Fleet(
             directory,
@@ -126,7 +120,7 @@
     @property
     def may_renew(self) -> bool:
         """Whether leases may still be renewed."""
-        return time.monotonic() - self._appender.confirmed_s < AUTHORITY_S
+        return read_clock_s() - self._appender.confirmed_s < AUTHORITY_S
 
     async def run(self) -> None:
         """Schedules until the term is lost or `resign` is called."""
--- a/lagoonbeam/site/service.py
+++ b/lagoonbeam/site/service.py
@@ -10,8 +10,9 @@
     UnknownJobError,
     UnknownQueueError,
 )
+from lagoonbeam.site.appender import JournalAppender
 from lagoonbeam.site.decisions import Decisions
-from lagoonbeam.site.journal import JournalAppender, JournalFollower
+from lagoonbeam.site.journal import JournalFollower
 from lagoonbeam.site.model import (
     Configuration,
     JobRequest,
--- a/tests/site/test_journal.py
+++ b/tests/site/test_journal.py
@@ -15,12 +15,10 @@
     SequenceError,
     ServerUnreachableError,
 )
+from lagoonbeam.site import appender as appender_module
+from lagoonbeam.site.appender import JournalAppender, claim_term
 from lagoonbeam.site.decisions import Decisions
-from lagoonbeam.site.journal import (
-    JournalAppender,
-    JournalFollower,
-    claim_term,
-)
+from lagoonbeam.site.journal import JournalFollower
 from lagoonbeam.site.ports import JournalPage, JournalStore, Snapshot, Writer
 from lagoonbeam.site.records import JobCancelled, TermRenewed, decode_record
 
@@ -186,6 +184,24 @@
     run_appender(test)
 
 
+def test_instance_appends_again_after_a_long_silence(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(appender_module, "APPEND_GIVE_UP_S", 0.2)
+
+    async def test(
+        store: FakeStore, follower: JournalFollower, appender: JournalAppender
+    ) -> None:
+        store.is_silent = True
+        with pytest.raises(LogUncertainError):
+            await _append(appender, JobCancelled("lost"), 2.0)
+        store.is_silent = False
+        await _append(appender, JobCancelled("later"))
+        assert decode_record(store.records[-1]) == JobCancelled("later")
+
+    run_appender(test)
+
+
 def test_fenced_writer_ends() -> None:
     async def test(
         store: FakeStore, follower: JournalFollower, appender: JournalAppender
