--- a/lagoonbeam/site/node.py
+++ b/lagoonbeam/site/node.py
@@ -176,7 +176,8 @@
                     queues=len(newer.routes),
                 )
 
-    def _should_claim(self) -> bool:
+    def should_claim(self) -> bool:
+        """Whether the term seems to be vacant to an instance that knows."""
         follower = self.follower
         if (
             self.service.is_draining
@@ -194,7 +195,7 @@
     async def _schedule(self) -> None:
         while True:
             await anyio.sleep(jitter(ELECTION_S))
-            if not self._should_claim():
+            if not self.should_claim():
                 continue
             claim = await claim_term(
                 self._store,
--- /dev/null
+++ b/tests/test_http11.py
@@ -0,0 +1,114 @@
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+
+import anyio
+import pytest
+
+from lagoonbeam.core.http11 import HttpClient, Response
+from lagoonbeam.core.http_server import HttpServer, Request, ServerLimits
+from lagoonbeam.errors import AnswerLostError, ServerUnreachableError
+
+HOST = "127.0.0.1"
+
+
+async def echo(request: Request) -> Response:
+    if request.target == "/slow":
+        await anyio.sleep(0.3)
+    return Response(200, request.body or request.target.encode())
+
+
+def run_server(
+    test: Callable[[HttpServer, int], Awaitable[None]],
+    limits: ServerLimits | None = None,
+) -> None:
+    async def main() -> None:
+        server = HttpServer(echo, limits)
+        async with anyio.create_task_group() as tasks:
+            port = await tasks.start(server.serve, HOST, 0)
+            await test(server, port)
+            tasks.cancel_scope.cancel()
+
+    anyio.run(main)
+
+
+def test_calls_share_a_connection_and_keep_their_answers() -> None:
+    async def test(server: HttpServer, port: int) -> None:
+        client = HttpClient(HOST, port)
+        for number in range(5):
+            response = await client.call("GET", f"/{number}", timeout_s=1)
+            assert response.body == f"/{number}".encode()
+        async with anyio.create_task_group() as tasks:
+            for text in ("/slow", "/a", "/b"):
+                tasks.start_soon(_expect, client, text)
+        await client.close()
+
+    run_server(test)
+
+
+async def _expect(client: HttpClient, text: str) -> None:
+    response = await client.call("GET", text, timeout_s=1)
+    assert response.body == text.encode()
+
+
+def test_unsent_and_unanswered_calls_are_told_apart() -> None:
+    async def test(server: HttpServer, port: int) -> None:
+        with pytest.raises(AnswerLostError):
+            await HttpClient(HOST, port).call("GET", "/slow", timeout_s=0.1)
+        with pytest.raises(ServerUnreachableError):
+            await HttpClient(HOST, 1).call("GET", "/", timeout_s=0.5)
+
+    run_server(test)
+
+
+def test_large_requests_are_refused() -> None:
+    async def test(server: HttpServer, port: int) -> None:
+        client = HttpClient(HOST, port)
+        body = await client.call("POST", "/", body=b"x" * 200, timeout_s=1)
+        head = await client.call(
+            "GET", "/", headers={"A": "x" * 300}, timeout_s=1
+        )
+        assert (body.status, head.status) == (413, 431)
+
+    run_server(test, ServerLimits(header_bytes=200, body_bytes=100))
+
+
+def test_slow_sender_is_cut_off_and_hurts_no_other() -> None:
+    async def test(server: HttpServer, port: int) -> None:
+        stream = await anyio.connect_tcp(HOST, port)
+        await stream.send(b"GET / HTT")
+        await _expect(HttpClient(HOST, port), "/other")
+        with anyio.fail_after(2), pytest.raises(anyio.EndOfStream):
+            await stream.receive()
+
+    run_server(test, ServerLimits(header_timeout_s=0.2, idle_timeout_s=0.2))
+
+
+def test_malformed_request_ends_its_connection_only() -> None:
+    async def test(server: HttpServer, port: int) -> None:
+        stream = await anyio.connect_tcp(HOST, port)
+        await stream.send(b"\x00\x01\x02\r\n\r\n")
+        with (
+            anyio.fail_after(2),
+            pytest.raises((anyio.EndOfStream, anyio.BrokenResourceError)),
+        ):
+            await stream.receive()
+        await _expect(HttpClient(HOST, port), "/after")
+
+    run_server(test)
+
+
+def test_drain_finishes_what_was_asked_and_ends_idle_connections() -> None:
+    async def test(server: HttpServer, port: int) -> None:
+        client = HttpClient(HOST, port)
+        await _expect(client, "/first")
+        idle = await anyio.connect_tcp(HOST, port)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(_expect, client, "/slow")
+            await anyio.sleep(0.1)
+            server.drain()
+        with anyio.fail_after(1), pytest.raises(anyio.EndOfStream):
+            await idle.receive()
+        assert server.open_requests == 0
+
+    run_server(test)
