Zone schedulers: a job accepted elsewhere just now is not called unknown

Cause: wait_job and cancel looked at the folded state only; the long poll that brings other instances' records may be answered later. Ruled out: waiting a fixed time before each unknown_job (slow for jobs that do not exist). Change: before a job is called unknown the log is read once, without waiting.

--- a/lagoonbeam/scheduler/journal.py
+++ b/lagoonbeam/scheduler/journal.py
@@ -149,6 +149,18 @@
         while self._pending or self._in_flight:
             await self.wait_changed()
 
+    async def catch_up(self) -> None:
+        """Folds what the log holds now; nothing if the log is down."""
+        try:
+            while True:
+                page = await self._store.read(self.state.next_offset)
+                for entry in page.entries:
+                    self.fold(entry)
+                if self.state.next_offset >= page.next_offset:
+                    return
+        except (LogUnavailableError, LogTruncatedError) as error:
+            _LOGGER.info("not level with the log: %s", error)
+
     def fold(self, entry: LogEntry) -> None:
         """Folds one entry; entries that are not next are ignored."""
         if entry.offset != self.state.next_offset:
--- a/lagoonbeam/scheduler/node.py
+++ b/lagoonbeam/scheduler/node.py
@@ -215,6 +215,8 @@
             UnknownJobError: If no such job is known.
             DrainingError: If this instance leaves before the job is finished.
         """
+        if self.describe(job_id) is None:
+            await self.journal.catch_up()
         with anyio.move_on_after(wait_s):
             while not self.draining:
                 status = self.describe(job_id)
@@ -257,6 +259,8 @@
             UnknownJobError: If no such job is known.
             ZoneUnreachableError: If its zone cannot be told.
         """
+        if self.describe(job_id) is None:
+            await self.journal.catch_up()
         status = self.describe(job_id)
         if status is None:
             raise UnknownJobError(f"got job {job_id!r}, which is not known")
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -132,3 +132,25 @@
                 while not second.caught_up:
                     await anyio.sleep(0.01)
             assert len(second.state.jobs) == 1
+
+
+class TestCatchUp:
+    async def test_what_another_instance_appended_is_known(self) -> None:
+        """Without the tail: its long poll may be answered later."""
+        log = FakeLog()
+        events = EventLog(
+            program="scheduler", instance="i", availability_zone="z1"
+        )
+        journal = Journal(log, writer="i", linger_s=0.005, events=events)
+        async with run_journal(log) as other:
+            await other.append(accept(1), timeout_s=1.0)
+        assert not journal.state.jobs
+        await journal.catch_up()
+        assert "j1" in journal.state.jobs
+
+    async def test_log_that_is_down_is_no_error(self) -> None:
+        log = FakeLog()
+        log.down = True
+        async with run_journal(log) as journal:
+            await journal.catch_up()
+            assert not journal.state.jobs
