Jobs of steps in the product's own interface

Cause: a site took jobs only through the platform's paths; the product's own interface offered gangs of the zone schedulers alone. New in the model: work that must not run again (outcome unknown after a run that may have worked; never stopped for others, so bounded by what nobody is guaranteed), a deadline for the first start (did_not_run, true because placements are journaled before starts). Ends of jobs moved from scheduler.py to endings.py.

--- a/harness/site.py
+++ b/harness/site.py
@@ -203,6 +203,29 @@
             content=json.dumps(body) if body is not None else None,
         )
 
+    def interface(self, name: str = "n0") -> str:
+        """Returns the base URL of an instance's own interface."""
+        return f"http://{self.host(name)}:{self.metrics_port}"
+
+    def call_own(
+        self,
+        method: str,
+        path: str,
+        *,
+        name: str = "n0",
+        key: str = KEY,
+        body: Any = None,
+        timeout_s: float = 30.0,
+    ) -> httpx.Response:
+        """Makes a request at the product's own interface."""
+        return self.client.request(
+            method,
+            f"{self.interface(name)}{path}",
+            headers={"authorization": f"Bearer {key}"},
+            json=body,
+            timeout=timeout_s,
+        )
+
     def submit(
         self,
         steps: list[dict[str, Any]],
--- a/lagoonbeam/commands/client.py
+++ b/lagoonbeam/commands/client.py
@@ -90,9 +90,13 @@
     adjacency: Annotated[
         str, typer.Option(help="none, rack or worker.")
     ] = "none",
+    steps: Annotated[
+        Path | None,
+        typer.Option(help="JSON file with steps in place of one gang."),
+    ] = None,
     urgency: Annotated[
-        str, typer.Option(help="batch, normal or urgent.")
-    ] = "normal",
+        str, typer.Option(help="batch, normal or urgent; empty: the kind's.")
+    ] = "",
     run_s: Annotated[float, typer.Option(help="Expected run time.")] = 60.0,
     start_within_s: Annotated[
         float, typer.Option(help="Drop it if not started by then; 0: never.")
@@ -116,13 +120,6 @@
     body = {
         "caller": caller,
         "kind": kind,
-        "shape": {
-            "members": members,
-            "accelerators": accelerators,
-            "cores": cores,
-            "memory_bytes": memory_bytes,
-            "adjacency": adjacency,
-        },
         "urgency": urgency,
         "declared_run_s": run_s,
         "start_within_s": start_within_s,
@@ -130,6 +127,16 @@
         "checkpointable": checkpointable,
         "payload": payload,
     }
+    if steps is not None:
+        body["steps"] = _read_steps(steps)
+    else:
+        body["shape"] = {
+            "members": members,
+            "accelerators": accelerators,
+            "cores": cores,
+            "memory_bytes": memory_bytes,
+            "adjacency": adjacency,
+        }
     headers = {"idempotency-key": key} if key else {}
     status = _connect(settings).call(
         "POST",
@@ -194,6 +201,15 @@
     print_rows(statuses, columns, as_json=as_json)
 
 
+def _read_steps(path: Path) -> Any:
+    """Reads the steps of a job; the instance asked checks what they say."""
+    try:
+        return json.loads(path.read_text())
+    except (OSError, ValueError) as error:
+        typer.echo(f"{path}: {error}", err=True)
+        raise typer.Exit(EXIT_USAGE) from error
+
+
 def _read_document(path: Path) -> RulesDocument:
     """Reads a rules document from a file, or from standard input for -."""
     text = sys.stdin.read() if str(path) == "-" else path.read_text()
--- a/lagoonbeam/core/http_server.py
+++ b/lagoonbeam/core/http_server.py
@@ -18,6 +18,7 @@
 
 REASONS = {
     200: "OK",
+    202: "Accepted",
     400: "Bad Request",
     401: "Unauthorized",
     404: "Not Found",
@@ -25,6 +26,7 @@
     409: "Conflict",
     410: "Gone",
     413: "Content Too Large",
+    422: "Unprocessable Content",
     429: "Too Many Requests",
     431: "Request Header Fields Too Large",
     500: "Internal Server Error",
@@ -222,7 +224,7 @@
         lines += [
             f"{name}: {value}" for name, value in response.headers.items()
         ]
-        if response.body:
+        if response.body and "Content-Type" not in response.headers:
             lines.append("Content-Type: application/json")
         lines.append(f"Content-Length: {len(response.body)}")
         lines.append("Connection: keep-alive" if keep else "Connection: close")
--- a/lagoonbeam/entry/requests.py
+++ b/lagoonbeam/entry/requests.py
@@ -8,23 +8,17 @@
 
 import msgspec
 
-from lagoonbeam.core.jobs import MAX_GANG_MEMBERS, GangShape, Job
+from lagoonbeam.core.jobs import GangShape, Job
+from lagoonbeam.core.requests import (
+    LongTime,
+    Name,
+    Payload,
+    RunTime,
+    ShapeRequest,
+    check_key,
+)
 from lagoonbeam.errors import InvalidRequestError
-from lagoonbeam.types import Adjacency, OrganisationName, Urgency
-
-Name = Annotated[str, msgspec.Meta(min_length=1, max_length=64)]
-MAX_KEY_CHARACTERS = 255
-MAX_PAYLOAD_CHARACTERS = 65_536
-
-
-class ShapeRequest(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """The gang's shape; see `GangShape`."""
-
-    members: Annotated[int, msgspec.Meta(ge=1, le=MAX_GANG_MEMBERS)] = 1
-    accelerators: Annotated[int, msgspec.Meta(ge=0, le=1_024)] = 1
-    cores: Annotated[float, msgspec.Meta(ge=0, le=1_000_000)] = 1.0
-    memory_bytes: Annotated[int, msgspec.Meta(ge=0, le=1 << 50)] = 0
-    adjacency: Adjacency = "none"
+from lagoonbeam.types import OrganisationName, Urgency
 
 
 class JobRequest(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -47,13 +41,11 @@
     kind: Name
     shape: ShapeRequest = ShapeRequest()
     urgency: Urgency | Literal[""] = ""
-    declared_run_s: Annotated[float, msgspec.Meta(gt=0, le=31_536_000)] = 60.0
-    start_within_s: Annotated[float, msgspec.Meta(ge=0, le=31_536_000)] = 0.0
+    declared_run_s: RunTime = 60.0
+    start_within_s: LongTime = 0.0
     idempotent: bool = False
     checkpointable: bool = False
-    payload: Annotated[str, msgspec.Meta(max_length=MAX_PAYLOAD_CHARACTERS)] = (
-        ""
-    )
+    payload: Payload = ""
     availability_zone: Annotated[str, msgspec.Meta(max_length=64)] = ""
 
 
@@ -71,11 +63,7 @@
     Raises:
         InvalidRequestError: If the body or the key is not valid.
     """
-    if len(key) > MAX_KEY_CHARACTERS:
-        raise InvalidRequestError(
-            f"got an Idempotency-Key of {len(key)} characters, expected at"
-            f" most {MAX_KEY_CHARACTERS}"
-        )
+    check_key(key)
     try:
         request = msgspec.json.decode(body, type=JobRequest)
     except (msgspec.MsgspecError, UnicodeDecodeError) as error:
--- a/lagoonbeam/site/lending.py
+++ b/lagoonbeam/site/lending.py
@@ -29,12 +29,30 @@
         self._kept: dict[int, set[str]] = defaultdict(set)
         self.lent: dict[str, dict[str, UnitState]] = defaultdict(dict)
         self.urgent_accelerators: dict[str, int] = defaultdict(int)
+        self.unstoppable: dict[str, int] = defaultdict(int)
 
     def note_run(
-        self, worker: str, unit: UnitState, policy: QueuePolicy
+        self,
+        worker: str,
+        unit: UnitState,
+        policy: QueuePolicy,
+        *,
+        is_covered: bool,
     ) -> None:
-        """Takes a run into account; long-running tasks are never lent."""
-        if unit.spec.is_long_running:
+        """Takes a task's run into account.
+
+        Long-running tasks are never lent, nor are those that must not run
+        again.
+
+        Args:
+            worker: Where it runs.
+            unit: Its unit.
+            policy: Its queue's policy.
+            is_covered: Whether it uses its organisation's guarantee.
+        """
+        if unit.job.request.runs_once and not is_covered:
+            self.unstoppable[policy.service] += unit.spec.accelerators
+        if unit.spec.is_long_running or unit.job.request.runs_once:
             return
         if policy.priority > 0:
             self.lent[worker][unit.key] = unit
--- a/lagoonbeam/site/model.py
+++ b/lagoonbeam/site/model.py
@@ -89,6 +89,10 @@
         repeat_count: Times the steps run; 0 for once, at once.
         first_due_s: Wall clock time at which the first occurrence is due.
         interval_s: Seconds between due times.
+        caller: Who asked, inside the organisation; empty if not said.
+        runs_once: Whether a task that may have begun is never started again.
+        start_within_s: Seconds after which the job is dropped if nothing of
+            it was started; 0 for no bound.
     """
 
     job_id: str
@@ -100,16 +104,25 @@
     repeat_count: int = 0
     first_due_s: float = 0.0
     interval_s: float = 0.0
+    caller: str = ""
+    runs_once: bool = False
+    start_within_s: float = 0.0
 
 
 class JobState(enum.StrEnum):
-    """Where a job stands."""
+    """Where a job stands.
+
+    ``UNKNOWN``: it may have run, and must not run again. ``DID_NOT_RUN``: it
+    was dropped before anything of it was started.
+    """
 
     QUEUED = "queued"
     RUNNING = "running"
     COMPLETED = "completed"
     FAILED = "failed"
     CANCELLED = "cancelled"
+    UNKNOWN = "unknown"
+    DID_NOT_RUN = "did_not_run"
 
 
 class End(enum.StrEnum):
@@ -206,6 +219,10 @@
         policies = (r.policy for r in self.routes if r.policy.name == queue)
         return next(policies, None)
 
+    def list_queues(self) -> list[str]:
+        """Returns the names of all queues, sorted."""
+        return sorted({route.policy.name for route in self.routes})
+
     def find_organisation(self, key: str) -> Organisation | None:
         """Returns the organisation that a key belongs to, if any."""
         owners = (o for o in self.organisations.values() if key in o.keys)
--- a/lagoonbeam/site/plan_memory.py
+++ b/lagoonbeam/site/plan_memory.py
@@ -9,7 +9,7 @@
 from lagoonbeam.site.decisions import Decisions
 from lagoonbeam.site.durations import Durations
 from lagoonbeam.site.placement import Assignment
-from lagoonbeam.site.state import SiteState, UnitState
+from lagoonbeam.site.state import JobEntry, SiteState, UnitState
 
 EVICTION_S = 2.0
 """Seconds that room is kept for a unit after its victims were stopped."""
@@ -67,6 +67,13 @@
             if _is_open(state, key)
         }
 
+    def is_launching(self, job: JobEntry) -> bool:
+        """Whether placements of a job are being journaled."""
+        return any(
+            assignment[0][0].unit.job is job
+            for assignment in self.launching.values()
+        )
+
     def avoid(self, unit: UnitState, worker: str) -> None:
         """Notes that a unit fared badly on a worker."""
         self._avoided.setdefault(unit.key, set()).add(worker)
--- a/lagoonbeam/site/planner.py
+++ b/lagoonbeam/site/planner.py
@@ -103,6 +103,9 @@
         self._full: set[tuple[object, ...]] = set()
         self._by_service: dict[str, Rooms] = defaultdict(dict)
         self._lending = Lending(self._by_service)
+        self._covered = find_covered(
+            state.open_jobs(), configuration.organisations, self._policy
+        )
         self._rooms = self._measure_rooms()
         for name, room in self._rooms.items():
             self._by_service[room.report.service][name] = room
@@ -128,6 +131,7 @@
                 continue
             for _, worker in assignment:
                 self._rooms[worker].take(unit)
+            self._note_unstoppable(unit)
             self._plan.starts.append((unit, assignment))
             self._memory.launching[unit.key] = assignment
         return self._plan
@@ -177,19 +181,13 @@
         return self._earnings[key]
 
     def _order(self, units: list[UnitState]) -> list[UnitState]:
-        covered = find_covered(
-            self._state.open_jobs(),
-            self._configuration.organisations,
-            self._policy,
-        )
-
         def rank(
             unit: UnitState,
         ) -> tuple[bool, bool, bool, int, Earning, float]:
             job = unit.job
             earning = self._get_earning(unit)
             return (
-                job.request.job_id not in covered,
+                job.request.job_id not in self._covered,
                 not unit.spec.is_long_running,
                 earning is Earning.NOTHING,
                 self._policy(job).priority,
@@ -208,7 +206,12 @@
             for task in self._state.placed.get(name, {}).values():
                 unit = task.unit
                 room.take(unit)
-                self._lending.note_run(name, unit, self._policy(unit.job))
+                self._lending.note_run(
+                    name,
+                    unit,
+                    self._policy(unit.job),
+                    is_covered=unit.job.request.job_id in self._covered,
+                )
         promised = chain(
             self._memory.launching.values(),
             (r.assignment for r in self._memory.reserved.values()),
@@ -216,6 +219,8 @@
         for task, worker in chain.from_iterable(promised):
             if worker in rooms:
                 rooms[worker].take(task.unit)
+        for assignment in self._memory.launching.values():
+            self._note_unstoppable(assignment[0][0].unit)
         return rooms
 
     def _place(self, unit: UnitState) -> Assignment | None:
@@ -225,6 +230,14 @@
         if reserved is not None:
             self._take(reserved.assignment, -1)
         allow_far = self._may_be_far(unit, usable)
+        if not self._may_hold(unit, policy):
+            self._memory.note_waiting(
+                unit,
+                priority=policy.priority,
+                guaranteed=self._count_guaranteed(),
+                unstoppable=self._lending.unstoppable[policy.service],
+            )
+            return None
         rooms = usable
         has_waited = self._get_wait_s(unit) > IDLE_PATIENCE_S
         if policy.priority > 0 and not (has_waited and self._is_idle(usable)):
@@ -265,6 +278,33 @@
         was_running = unit.spec.is_long_running and unit.next_run > 1
         return policy.priority == 0 or was_running
 
+    def _may_hold(self, unit: UnitState, policy: QueuePolicy) -> bool:
+        """Whether a unit leaves the guarantees reclaimable.
+
+        Work that must not be stopped may use only what nobody is guaranteed,
+        or the guarantee of its own organisation.
+        """
+        request = unit.job.request
+        if not request.runs_once or request.job_id in self._covered:
+            return True
+        rooms = self._by_service[policy.service].values()
+        whole = sum(room.report.accelerators for room in rooms)
+        needed = len(unit.tasks) * unit.spec.accelerators
+        held = self._lending.unstoppable[policy.service] + needed
+        return held <= whole - self._count_guaranteed()
+
+    def _note_unstoppable(self, unit: UnitState) -> None:
+        request = unit.job.request
+        if request.runs_once and request.job_id not in self._covered:
+            service = self._policy(unit.job).service
+            self._lending.unstoppable[service] += (
+                len(unit.tasks) * unit.spec.accelerators
+            )
+
+    def _count_guaranteed(self) -> int:
+        organisations = self._configuration.organisations.values()
+        return sum(each.guaranteed_accelerators for each in organisations)
+
     def _limit_to_advised(self, unit: UnitState, rooms: Rooms) -> Rooms:
         """Returns the workers with a ticket, and asks about the others."""
         advice = self._memory.advice
--- a/lagoonbeam/site/records.py
+++ b/lagoonbeam/site/records.py
@@ -53,6 +53,12 @@
     task_id: str
 
 
+class JobDropped(_Record, frozen=True, tag="drop"):
+    """A job was not started in time; void if it was started after all."""
+
+    job_id: str
+
+
 class TermClaimed(_Record, frozen=True, tag="claim"):
     """An instance became the active scheduler."""
 
@@ -133,6 +139,7 @@
     | JobAccepted
     | JobCancelled
     | JobFailed
+    | JobDropped
     | TermClaimed
     | TermRenewed
     | TermResigned
--- a/lagoonbeam/site/scheduler.py
+++ b/lagoonbeam/site/scheduler.py
@@ -14,9 +14,10 @@
 from lagoonbeam.site.appender import JournalAppender
 from lagoonbeam.site.bounds import SchedulerBounds
 from lagoonbeam.site.decisions import Decisions
+from lagoonbeam.site.endings import Endings
 from lagoonbeam.site.fleet import Fleet
 from lagoonbeam.site.journal import JournalFollower
-from lagoonbeam.site.model import Configuration, End, JobState, QueuePolicy
+from lagoonbeam.site.model import Configuration, End, QueuePolicy
 from lagoonbeam.site.placement import get_step_id
 from lagoonbeam.site.plan_memory import PlanMemory
 from lagoonbeam.site.planner import make_plan
@@ -27,11 +28,9 @@
     Writer,
 )
 from lagoonbeam.site.records import (
-    JobFailed,
     Placement,
     Record,
     RunEnd,
-    RunsEnded,
     TermRenewed,
     TermResigned,
     split_placements,
@@ -109,6 +108,13 @@
         self._scope = anyio.CancelScope()
         self._wake = anyio.Event()
         self._memory = PlanMemory(decisions, advice)
+        self._endings = Endings(
+            lambda: self.state,
+            self._policy,
+            self._journal,
+            self._memory,
+            decisions,
+        )
         self._snapshot_s = time.monotonic()
         self._tasks: anyio.abc.TaskGroup | None = None
 
@@ -153,36 +159,7 @@
 
     async def end_runs(self, ends: Sequence[RunEnd]) -> bool:
         """Journals ends; returns whether they are stored."""
-        records: list[Record] = [RunsEnded(tuple(ends))]
-        jobs = {
-            task.unit.job.request.job_id: task.unit.job
-            for end in ends
-            if (task := self.state.tasks.get(end.task_id)) is not None
-            and task.unit.job.is_open
-        }
-        if not await self._journal(records):
-            return False
-        for end in ends:
-            self._decisions.metrics.ends.labels(end.end.value).inc()
-        for job in jobs.values():
-            if job.state is JobState.COMPLETED:
-                self._note_ended(job)
-        return True
-
-    def _note_ended(self, job: JobEntry, **inputs: object) -> None:
-        age_s = time.time() - job.request.accepted_at_s
-        self._decisions.metrics.finish_s.observe(max(0.0, age_s))
-        self._decisions.emit(
-            "job.ended",
-            job=job.request.job_id,
-            state=job.state.value,
-            age_s=round(age_s, 3),
-            tasks=sum(len(unit.tasks) for unit in job.all_units()),
-            starts=sum(
-                task.run for unit in job.all_units() for task in unit.tasks
-            ),
-            **inputs,
-        )
+        return await self._endings.end_runs(ends)
 
     def note_usable(self, worker: str) -> None:
         """Plans again after a worker became usable."""
@@ -218,6 +195,8 @@
 
     def note_stall(self, worker: str, task: TaskState) -> None:
         """Stops a unit whose run stands still, and starts it elsewhere."""
+        if task.unit.job.request.runs_once:
+            return
         self._memory.avoid(task.unit, worker)
         self._stop_unit(task.unit, f"stands still at {worker}")
 
@@ -272,8 +251,9 @@
             with anyio.move_on_after(PLAN_S):
                 await self._wake.wait()
             self._wake = anyio.Event()
-            await self._end_lost_workers()
-            await self._fail_jobs()
+            if time.monotonic() > self.foreign_lease_s:
+                await self._endings.end_lost_workers(self._fleet.sessions)
+            await self._endings.end_hopeless()
             for worker, task in self._fleet.find_doomed():
                 self._stop_unit(task.unit, f"{worker} leaves before its end")
             self._plan()
@@ -355,40 +335,3 @@
             session = self._fleet.sessions.get(placement.worker)
             if session is not None:
                 session.orders.order_stop(task.task_id, placement.run, cause)
-
-    async def _fail_jobs(self) -> None:
-        failed = []
-        for job in self.state.open_jobs():
-            most = self._policy(job).max_attempts
-            worst = next(
-                (
-                    unit
-                    for unit in job.all_units()
-                    if unit.failures >= most and not unit.spec.is_long_running
-                ),
-                None,
-            )
-            if worst is not None and not worst.is_done:
-                failed.append((job, worst, most))
-        if not failed or not await self._journal(
-            [JobFailed(j.request.job_id, unit.key) for j, unit, _ in failed]
-        ):
-            return
-        for job, worst, most in failed:
-            self._note_ended(
-                job, task=worst.key, failures=worst.failures, allowed=most
-            )
-
-    async def _end_lost_workers(self) -> None:
-        """Ends runs on workers that are not listed and have no session."""
-        if time.monotonic() < self.foreign_lease_s:
-            return
-        ends = [
-            RunEnd(task.task_id, task.run, End.LAPSED)
-            for worker, tasks in self.state.placed.items()
-            if worker not in self._fleet.sessions
-            for task in tasks.values()
-        ]
-        if ends:
-            self._decisions.emit("worker.gone", runs=len(ends))
-            await self.end_runs(ends)
--- a/lagoonbeam/site/service.py
+++ b/lagoonbeam/site/service.py
@@ -3,10 +3,13 @@
 from __future__ import annotations
 
 import time
+from collections.abc import Iterator
 
 from lagoonbeam.errors import (
+    DrainingError,
     NotReadyError,
     UnauthorizedError,
+    UnavailableError,
     UnknownJobError,
     UnknownQueueError,
 )
@@ -21,6 +24,8 @@
     QueueRoute,
 )
 from lagoonbeam.site.records import JobAccepted, JobCancelled
+from lagoonbeam.site.state import JobEntry
+from lagoonbeam.types import OrganisationName
 
 FRESH_S = 2.5
 """Age up to which the copy of the state answers callers; accepted jobs must
@@ -57,11 +62,24 @@
     @property
     def is_ready(self) -> bool:
         """Whether new callers should be sent here."""
-        return (
-            not self.is_draining
-            and self.configuration.version > 0
-            and self._follower.age_s < FRESH_S
-        )
+        try:
+            self.check_ready()
+        except UnavailableError:
+            return False
+        return True
+
+    def check_ready(self) -> None:
+        """Checks that new callers should be sent here.
+
+        Raises:
+            DrainingError: If the instance is about to leave.
+            NotReadyError: If it lacks a configuration or a fresh state.
+        """
+        if self.is_draining:
+            raise DrainingError("the instance is leaving")
+        if not self.configuration.version:
+            raise NotReadyError("no configuration yet")
+        self._check_fresh()
 
     def find_route(
         self, host: str, path: str, key: str
@@ -123,7 +141,7 @@
             LogUnavailableError: If it was not cancelled.
             LogUncertainError: If it may have been cancelled.
         """
-        await self._find(job_id)
+        await self.get_job(job_id)
         self._check_store()
         await self._appender.append([JobCancelled(job_id)], timeout_s=timeout_s)
         self._decisions.emit("job.cancelled", job=job_id)
@@ -135,23 +153,41 @@
             UnknownJobError: If there is no such job.
             NotReadyError: If the copy is too old to say.
         """
-        return await self._find(job_id)
+        return (await self.get_job(job_id)).state
 
-    def count_pending(self, queue: str) -> int:
-        """Returns how many accepted jobs of a queue have not started."""
-        self._check_fresh()
-        return self._follower.state.count_pending(queue)
+    async def get_job(self, job_id: str) -> JobEntry:
+        """Returns a job.
 
-    async def _find(self, job_id: str) -> JobState:
+        Raises:
+            UnknownJobError: If there is no such job.
+            NotReadyError: If the copy is too old to say.
+        """
         if job_id not in self._follower.state.jobs:
             await self._follower.catch_up(CATCH_UP_S)
         job = self._follower.state.jobs.get(job_id)
         if job is not None and not job.is_open:
-            return job.state
+            return job
         self._check_fresh()
         if job is None:
             raise UnknownJobError(f"no job {job_id}")
-        return job.state
+        return job
+
+    def list_jobs(self, organisation: OrganisationName) -> Iterator[JobEntry]:
+        """Yields the known jobs of an organisation, latest first."""
+        return (
+            job
+            for job in reversed(self._follower.state.jobs.values())
+            if job.request.organisation == organisation
+        )
+
+    async def wait_change(self) -> None:
+        """Waits until the copy may have changed."""
+        await self._follower.wait_change()
+
+    def count_pending(self, queue: str) -> int:
+        """Returns how many accepted jobs of a queue have not started."""
+        self._check_fresh()
+        return self._follower.state.count_pending(queue)
 
     def _check_fresh(self) -> None:
         if self._follower.age_s > FRESH_S:
--- a/lagoonbeam/site/session.py
+++ b/lagoonbeam/site/session.py
@@ -126,6 +126,8 @@
             step = task.unit.spec
             if running is None or step.is_long_running:
                 continue
+            if task.unit.job.request.runs_once:
+                continue
             spent_s = self.orders.get_elapsed_s(task)
             share = running.percent / 100
             needed_s = spent_s * (1 - share) / share if share else left_s
@@ -226,10 +228,7 @@
     async def _end_lapsed(self) -> None:
         ends = [
             RunEnd(
-                task.task_id,
-                task.run,
-                End.LAPSED,
-                self._saved(task.task_id),
+                task.task_id, task.run, End.LAPSED, self._saved(task.task_id)
             )
             for task in self._placed()
             if not self.orders.is_starting(task.task_id)
@@ -278,7 +277,7 @@
             self._owner.note_usable(self.worker)
         await self._take_finished(view)
         ended = {(end.task_id, end.run) for end in view.finished}
-        never: list[RunEnd] = []
+        gone: list[RunEnd] = []
         for task in self._placed():
             key = (task.task_id, task.run)
             if (
@@ -289,12 +288,13 @@
             ):
                 continue
             if self.orders.was_stopped_before(*key, sent_s):
-                never.append(RunEnd(*key, End.NEVER_STARTED))
+                how = End.LAPSED if self._has_begun(task) else End.NEVER_STARTED
+                gone.append(RunEnd(*key, how))
             else:
                 self.orders.order_stop(*key, "not listed by the worker")
-        if never:
-            await self._owner.end_runs(never)
-            for end in never:
+        if gone:
+            await self._owner.end_runs(gone)
+            for end in gone:
                 self.orders.forget_order(end.task_id, end.run)
                 refused = self._owner.state.tasks.get(end.task_id)
                 if refused is not None:
@@ -302,6 +302,14 @@
         self._stop_unwanted()
         await self._pace()
 
+    def _has_begun(self, task: TaskState) -> bool:
+        """Whether a run that is not listed may have worked before."""
+        placement = task.placement
+        return self.orders.was_started_after(task.task_id, float("-inf")) or (
+            placement is not None
+            and placement.incarnation != self.report.incarnation
+        )
+
     def _get_step(self, task_id: str) -> Step | None:
         task = self._owner.state.tasks.get(task_id)
         return None if task is None else task.unit.spec
--- a/lagoonbeam/site/snapshot.py
+++ b/lagoonbeam/site/snapshot.py
@@ -27,6 +27,8 @@
         failures: Runs that ended as failed.
         checkpoint: Newest known progress.
         is_done: Whether all its work is done.
+        failed_run: Number of the last run that failed.
+        void_run: Number of the last run of which a task never started.
     """
 
     occurrence: int
@@ -37,6 +39,8 @@
     failures: int = 0
     checkpoint: str = ""
     is_done: bool = False
+    failed_run: int = 0
+    void_run: int = 0
 
 
 class _Job(msgspec.Struct, array_like=True):
@@ -109,6 +113,8 @@
         unit.failures,
         unit.checkpoint,
         unit.is_done,
+        unit.failed_run,
+        unit.void_run,
     )
 
 
@@ -121,7 +127,11 @@
         unit.failures = item.failures
         unit.checkpoint = item.checkpoint
         unit.is_done = item.is_done
+        unit.failed_run = item.failed_run
+        unit.void_run = item.void_run
         job.open_units -= item.is_done
+        if unit.failures:
+            job.note_failures(unit)
         by_id = {task.task_id: task for task in unit.tasks}
         for task, run in zip(unit.tasks, item.runs, strict=True):
             task.run = run
--- a/lagoonbeam/site/state.py
+++ b/lagoonbeam/site/state.py
@@ -18,6 +18,7 @@
     InstanceJoined,
     JobAccepted,
     JobCancelled,
+    JobDropped,
     JobFailed,
     Placement,
     Record,
@@ -63,6 +64,8 @@
         tasks: The tasks.
         failures: Runs that ended as failed; of a gang's run, once.
         failed_run: Number of the last run that failed.
+        void_run: Number of the last run of which a task never started; no
+            other task of a gang has worked in it.
         checkpoint: Newest known progress; empty for none.
         is_done: Whether all its work is done.
     """
@@ -73,6 +76,7 @@
     tasks: list[TaskState] = field(default_factory=list)
     failures: int = 0
     failed_run: int = 0
+    void_run: int = 0
     checkpoint: str = ""
     is_done: bool = False
 
@@ -107,6 +111,8 @@
         state: Where the job stands.
         has_started: Whether one of its tasks was ever started.
         open_units: Units that are not done.
+        most_failed: The unit with the most failures, if any failed; those of
+            long-running steps do not count.
     """
 
     request: JobRequest
@@ -114,6 +120,7 @@
     state: JobState = JobState.QUEUED
     has_started: bool = False
     open_units: int = 0
+    most_failed: UnitState | None = None
 
     @property
     def is_open(self) -> bool:
@@ -125,6 +132,14 @@
         for units in self.units.values():
             yield from units
 
+    def note_failures(self, unit: UnitState) -> None:
+        """Takes a unit's failures into account."""
+        most = self.most_failed
+        if unit.spec.is_long_running or unit.is_done:
+            return
+        if most is None or most.is_done or unit.failures > most.failures:
+            self.most_failed = unit
+
     def due_s(self, occurrence: int) -> float:
         """Wall clock time before which an occurrence must not start."""
         request = self.request
@@ -290,6 +305,13 @@
         state.end_job(job, JobState.FAILED)
 
 
+@_apply.register
+def _(record: JobDropped, state: SiteState) -> None:
+    job = state.jobs.get(record.job_id)
+    if job is not None and not job.has_started:
+        state.end_job(job, JobState.DID_NOT_RUN)
+
+
 @_apply.register
 def _(record: TermClaimed, state: SiteState) -> None:
     state.term = Term(record.term, record.instance, record.incarnation, False)
@@ -339,6 +361,15 @@
     if end.end is End.FAILED and unit.failed_run != end.run:
         unit.failed_run = end.run if unit.spec.is_gang else 0
         unit.failures += 1
+        unit.job.note_failures(unit)
+    if end.end in (End.NEVER_STARTED, End.ALONE):
+        unit.void_run = end.run
+    elif (
+        unit.job.request.runs_once
+        and end.end not in (End.DONE, End.FAILED)
+        and not (unit.spec.is_gang and unit.void_run == end.run)
+    ):
+        state.end_job(unit.job, JobState.UNKNOWN)
     if end.end is not End.DONE or unit.is_done or unit.spec.is_long_running:
         return
     for member in unit.tasks:
--- a/tests/site/test_decisions.py
+++ b/tests/site/test_decisions.py
@@ -5,6 +5,8 @@
 import re
 from pathlib import Path
 
+import pytest
+
 from lagoonbeam.site.decisions import LINES_PER_S, Decisions
 
 ROOT = Path(__file__).resolve().parent.parent.parent
@@ -24,7 +26,10 @@
     assert line["instance"] == "n0"
 
 
-def test_volume_is_bounded_and_ends_are_never_left_out() -> None:
+def test_volume_is_bounded_and_ends_are_never_left_out(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr("time.monotonic", lambda: 7.0)
     reader, writer = os.pipe()
     decisions = Decisions("n0", "z1", descriptor=writer)
     for number in range(LINES_PER_S * 2):
--- a/tests/site/test_planner.py
+++ b/tests/site/test_planner.py
@@ -212,3 +212,28 @@
         (unit,) = accept(state, now_job(f"b{number}"))
         place(state, unit, f"w{number}")
     assert len(workers_of(plan(state, make_sessions(4)))) == 2
+
+
+def test_work_that_must_not_run_again_is_not_stopped_for_others() -> None:
+    state = SiteState()
+    (held,) = accept(state, now_job("a", WHOLE, priority=1, runs_once=True))
+    place(state, held, "w0")
+    accept(state, now_job("b", WHOLE, priority=0))
+    made = plan(state, make_sessions(1))
+    assert not made.stops
+    assert not made.starts
+
+
+def test_work_that_must_not_be_stopped_leaves_the_guarantees_free() -> None:
+    state = SiteState()
+    for number in range(4):
+        accept(state, now_job(f"a{number}", WHOLE, priority=1, runs_once=True))
+    made = plan(state, make_sessions(4))
+    assert len(made.starts) == 2
+
+
+def test_guaranteed_work_that_runs_once_uses_its_own_guarantee() -> None:
+    state = SiteState()
+    for number in range(4):
+        accept(state, now_job(f"a{number}", WHOLE, priority=0, runs_once=True))
+    assert len(plan(state, make_sessions(4)).starts) == 4
--- a/tests/site/test_state.py
+++ b/tests/site/test_state.py
@@ -1,5 +1,6 @@
 from __future__ import annotations
 
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -9,6 +10,7 @@
     InstanceJoined,
     JobAccepted,
     JobCancelled,
+    JobDropped,
     JobFailed,
     Placement,
     RunEnd,
@@ -167,3 +169,53 @@
             decode(data)
         except MalformedAnswerError as error:
             assert error.detail
+
+
+@pytest.mark.parametrize("how", [End.STOPPED, End.LAPSED, End.BROKEN])
+def test_job_that_runs_once_is_unknown_after_a_cut_run(how: End) -> None:
+    state = SiteState()
+    (unit,) = accept(state, make_job("a", runs_once=True))
+    place(state, unit, "w0")
+    end(state, unit.key, 1, how)
+    assert state.jobs["a"].state is JobState.UNKNOWN
+
+
+def test_start_that_never_happened_may_be_repeated() -> None:
+    state = SiteState()
+    (unit,) = accept(state, make_job("a", runs_once=True))
+    place(state, unit, "w0")
+    end(state, unit.key, 1, End.NEVER_STARTED)
+    assert state.jobs["a"].is_open
+
+
+def test_gang_with_a_member_that_never_started_has_not_worked() -> None:
+    state = SiteState()
+    gang = Step(count=2, is_gang=True)
+    (unit,) = accept(state, make_job("a", gang, runs_once=True))
+    place(state, unit, "w0")
+    end(state, unit.tasks[0].task_id, 1, End.NEVER_STARTED)
+    end(state, unit.tasks[1].task_id, 1, End.STOPPED)
+    assert state.jobs["a"].is_open
+
+
+def test_job_is_dropped_only_before_its_first_start() -> None:
+    state = SiteState()
+    accept(state, make_job("a"))
+    (started,) = accept(state, make_job("b"))
+    place(state, started, "w0")
+    for job_id in "ab":
+        state.apply(JobDropped(job_id))
+    assert state.jobs["a"].state is JobState.DID_NOT_RUN
+    assert state.jobs["b"].state is JobState.RUNNING
+
+
+def test_snapshot_keeps_which_run_of_a_gang_failed() -> None:
+    state = SiteState()
+    (unit,) = accept(state, make_job("a", Step(count=2, is_gang=True)))
+    place(state, unit, "w0")
+    end(state, unit.tasks[0].task_id, 1, End.FAILED)
+    restored = decode_state(encode_state(state))
+    end(restored, unit.tasks[1].task_id, 1, End.FAILED)
+    (again,) = restored.jobs["a"].all_units()
+    assert again.failures == 1
+    assert restored.jobs["a"].most_failed is again
