Site policies as plug-ins with baselines, and a bench for them in virtual time

Cause: order, packing, reserve and victims were functions of the planner; no baseline stood beside them and make bench knew no jobs of steps.

--- /dev/null
+++ b/benchmarks/site_bench.py
@@ -0,0 +1,102 @@
+"""``make bench-site``: the site's policies beside baselines, in virtual time.
+
+Prints a table for a person; the last line is one JSON object:
+``{scene: {deployment: {policies: {measure: value}}}}``.
+"""
+
+from __future__ import annotations
+
+import argparse
+import json
+import multiprocessing
+import statistics
+from collections import defaultdict
+from typing import Any
+
+from rich.console import Console
+from rich.table import Table
+
+from benchmarks.site_scenes import ARMOR, SCENES, TAUVERK
+from benchmarks.site_simulation import SiteSimulation, measure
+from lagoonbeam.site.policies import PolicyNames
+
+FLEETS = {fleet.name: fleet for fleet in (ARMOR, TAUVERK)}
+POLICIES = {
+    "site": (PolicyNames(), True),
+    "priority order": (PolicyNames(ordering="priority"), True),
+    "first fit": (PolicyNames(packing="first_fit"), True),
+    "no reserve": (PolicyNames(reserve="none"), True),
+    "youngest stopped": (PolicyNames(eviction="youngest_job"), True),
+    "never stopped": (PolicyNames(eviction="never"), True),
+    "no quarantine": (PolicyNames(), False),
+    "first come": (
+        PolicyNames("first_come", "first_fit", "none", "never"),
+        False,
+    ),
+}
+COLUMNS = (
+    "worth",
+    "worth_checks",
+    "worth_renders",
+    "worth_batches",
+    "urgent_start_p90_s",
+    "lost",
+    "stops",
+    "unfinished",
+    "plan_mean_ms",
+    "plan_max_ms",
+)
+
+
+def run_case(case: tuple[int, str, str, int]) -> dict[str, float]:
+    """Runs one scene, deployment, set of policies and seed."""
+    scene_index, fleet_name, policy, seed = case
+    fleet = FLEETS[fleet_name]
+    names, quarantines = POLICIES[policy]
+    scene = SCENES[scene_index](fleet, seed)
+    simulation = SiteSimulation(
+        fleet, scene, names, seed, quarantines=quarantines
+    )
+    return measure(simulation.run())
+
+
+def main() -> None:
+    """Runs everything and prints the results."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seeds", type=int, default=10)
+    parser.add_argument("--processes", type=int, default=3)
+    parser.add_argument("--scene", default="")
+    parser.add_argument("--policies", default=",".join(POLICIES))
+    arguments = parser.parse_args()
+    cases = [
+        (index, fleet, policy, seed)
+        for index, make in enumerate(SCENES)
+        if arguments.scene in make.__name__
+        for fleet in FLEETS
+        for policy in arguments.policies.split(",")
+        for seed in range(1, arguments.seeds + 1)
+    ]
+    with multiprocessing.Pool(arguments.processes) as pool:
+        rows = pool.map(run_case, cases, chunksize=1)
+    collected: dict[tuple[str, str, str], dict[str, list[float]]] = defaultdict(
+        lambda: defaultdict(list)
+    )
+    for (index, fleet, policy, _), row in zip(cases, rows, strict=True):
+        for name, value in row.items():
+            key = (SCENES[index].__name__, fleet, policy)
+            collected[key][name].append(value)
+    results: dict[str, Any] = defaultdict(lambda: defaultdict(dict))
+    table = Table("scene", "deployment", "policies", *COLUMNS, box=None)
+    for (scene, fleet, policy), values in collected.items():
+        means = {n: statistics.fmean(each) for n, each in values.items()}
+        results[scene][fleet][policy] = {
+            name: round(value, 4) for name, value in means.items()
+        }
+        cells = [f"{means.get(name, 0.0):.3g}" for name in COLUMNS]
+        table.add_row(scene, fleet, policy, *cells)
+    Console(width=200).print(table)
+    print(json.dumps(results))
+
+
+if __name__ == "__main__":
+    main()
--- a/lagoonbeam/core/clock.py
+++ b/lagoonbeam/core/clock.py
@@ -1,4 +1,4 @@
-"""A hybrid logical clock, and a steady one that suspension does not stop."""
+"""Clocks: the time of day, a steady one, and a hybrid logical one."""
 
 from __future__ import annotations
 
@@ -16,6 +16,18 @@
     return time.clock_gettime(clock)
 
 
+class Clock:
+    """Tells the time; benchmarks put virtual time in its place."""
+
+    def read_wall_s(self) -> float:
+        """Returns the time of day, in Unix seconds."""
+        return time.time()
+
+    def read_steady_s(self) -> float:
+        """Returns a steady time in seconds."""
+        return time.monotonic()
+
+
 @dataclass(frozen=True, order=True)
 class Stamp:
     """A point on the time line.
--- a/lagoonbeam/site/lending.py
+++ b/lagoonbeam/site/lending.py
@@ -2,18 +2,14 @@
 
 from __future__ import annotations
 
-import math
 from collections import defaultdict
 from collections.abc import Mapping, Set
 from itertools import chain
 
 from lagoonbeam.site.entries import UnitState
 from lagoonbeam.site.model import QueuePolicy
-from lagoonbeam.site.placement import Room, Rooms, is_suited
-
-KEPT_FREE = {1: 0.1, 2: 0.2}
-"""Part of the workers that work of a priority leaves free for urgent work,
-beside those that urgent work uses; lower priorities leave the last one."""
+from lagoonbeam.site.reserve import ReservePolicy
+from lagoonbeam.site.rooms import Room, Rooms, is_suited
 
 
 class Lending:
@@ -23,6 +19,7 @@
         by_service: Usable workers' room by service.
         covered: Identifiers of jobs that use a guarantee.
         guaranteed: Accelerators that all guarantees add up to.
+        reserve: Bounds what less urgent work may use.
     """
 
     def __init__(
@@ -30,10 +27,12 @@
         by_service: Mapping[str, Rooms],
         covered: Set[str],
         guaranteed: int,
+        reserve: ReservePolicy,
     ):
         self._by_service = by_service
         self._covered = covered
         self._guaranteed = guaranteed
+        self._reserve = reserve
         self._allowed: dict[tuple[str, int], Rooms] = {}
         self._kept: dict[int, set[str]] = defaultdict(set)
         self.lent: dict[str, dict[str, UnitState]] = defaultdict(dict)
@@ -105,7 +104,7 @@
     ) -> None:
         """Keeps a rack from less urgent work for the first waiting gang."""
         kept = self._kept[policy.priority]
-        if kept:
+        if kept or not self._reserve.keeps_racks:
             return
         racks: dict[str, list[Room]] = defaultdict(list)
         for room in rooms.values():
@@ -129,11 +128,10 @@
 
     def _choose(self, policy: QueuePolicy) -> Rooms:
         rooms = self._by_service[policy.service]
-        share = KEPT_FREE.get(policy.priority, KEPT_FREE[max(KEPT_FREE)])
         sizes = [room.report.accelerators for room in rooms.values()]
         urgent = self.urgent_accelerators[policy.service]
         used = urgent / max(1, max(sizes, default=1))
-        most = max(1, math.floor((1 - share) * len(rooms) - used))
+        most = self._reserve.count_allowed(policy.priority, len(rooms), used)
         by_use = sorted(
             rooms,
             key=lambda name: (
--- a/lagoonbeam/site/node.py
+++ b/lagoonbeam/site/node.py
@@ -15,6 +15,7 @@
 from lagoonbeam.site.decisions import Decisions
 from lagoonbeam.site.dependency import DependencyWatch
 from lagoonbeam.site.journal import JournalFollower, jitter
+from lagoonbeam.site.policies import PolicyNames, make_policies
 from lagoonbeam.site.ports import Ports, Writer
 from lagoonbeam.site.records import InstanceJoined
 from lagoonbeam.site.scheduler import Scheduler
@@ -65,6 +66,7 @@
         ports: The platform.
         bounds: Times that the platform gives.
         decisions: The decision log.
+        policies: Names of the policies; the defaults if None.
     """
 
     def __init__(
@@ -74,7 +76,9 @@
         ports: Ports,
         bounds: SchedulerBounds,
         decisions: Decisions,
+        policies: PolicyNames | None = None,
     ):
+        self._policies = make_policies(policies)
         self._address = address
         self._ports = ports
         self._bounds = bounds
@@ -204,6 +208,7 @@
                 sequence=sequence,
                 get_configuration=lambda: self.service.configuration,
                 bounds=self._bounds,
+                policies=self._policies,
                 decisions=self._decisions,
             )
             self.follower.is_active = True
--- a/lagoonbeam/site/plan_memory.py
+++ b/lagoonbeam/site/plan_memory.py
@@ -2,14 +2,15 @@
 
 from __future__ import annotations
 
-import time
 from dataclasses import dataclass
 
+from lagoonbeam.core.clock import Clock
 from lagoonbeam.site.advice import AdviceBook
 from lagoonbeam.site.decisions import Decisions
 from lagoonbeam.site.durations import Durations
 from lagoonbeam.site.entries import JobEntry, UnitState
 from lagoonbeam.site.placement import Assignment
+from lagoonbeam.site.policies import Policies, make_policies
 from lagoonbeam.site.state import SiteState
 
 EVICTION_S = 2.0
@@ -31,9 +32,20 @@
     Args:
         decisions: The decision log.
         advice: Tickets for the workers that queues may use.
+        policies: The policies in force; the defaults if None.
+        clock: Tells the time.
     """
 
-    def __init__(self, decisions: Decisions, advice: AdviceBook | None = None):
+    def __init__(
+        self,
+        decisions: Decisions,
+        advice: AdviceBook | None = None,
+        *,
+        policies: Policies | None = None,
+        clock: Clock | None = None,
+    ):
+        self.policies = policies or make_policies()
+        self.clock = clock or Clock()
         self.durations = Durations()
         self.launching: dict[str, Assignment] = {}
         self.reserved: dict[str, Reserved] = {}
@@ -44,12 +56,12 @@
 
     def reserve(self, unit: UnitState, assignment: Assignment) -> None:
         """Keeps room for a unit while its victims are stopped."""
-        until_s = time.monotonic() + EVICTION_S
+        until_s = self.clock.read_steady_s() + EVICTION_S
         self.reserved[unit.key] = Reserved(unit, assignment, until_s)
 
     def drop_stale(self, state: SiteState) -> None:
         """Forgets what concerns units that ended or waited too long."""
-        now_s = time.monotonic()
+        now_s = self.clock.read_steady_s()
         self.reserved = {
             key: reserved
             for key, reserved in self.reserved.items()
--- a/lagoonbeam/site/planner.py
+++ b/lagoonbeam/site/planner.py
@@ -10,22 +10,21 @@
 
 from lagoonbeam.site.durations import Earning
 from lagoonbeam.site.entries import JobEntry, UnitState
+from lagoonbeam.site.eviction import find_eviction
 from lagoonbeam.site.guarantees import find_covered
 from lagoonbeam.site.lending import Lending
 from lagoonbeam.site.model import Configuration, QueuePolicy, Step
-from lagoonbeam.site.placement import (
-    ACCELERATOR_CORES,
-    Assignment,
+from lagoonbeam.site.ordering import UnitStanding
+from lagoonbeam.site.placement import Assignment, could_be_near, place_unit
+from lagoonbeam.site.plan_memory import PlanMemory
+from lagoonbeam.site.rooms import (
     Rooms,
-    could_be_near,
-    find_eviction,
+    count_cores,
     get_step_id,
     is_suited,
     make_room,
-    place_unit,
     step_key,
 )
-from lagoonbeam.site.plan_memory import PlanMemory
 from lagoonbeam.site.session import WorkerSession
 from lagoonbeam.site.state import SiteState
 
@@ -100,7 +99,7 @@
         self._sessions = sessions
         self._usable = usable
         self._configuration = configuration
-        self._now_s = time.time()
+        self._now_s = memory.clock.read_wall_s()
         self._policies: dict[str, QueuePolicy] = {}
         self._earnings: dict[tuple[str, int, int], Earning] = {}
         self._full: set[tuple[object, ...]] = set()
@@ -109,7 +108,10 @@
             state.open_jobs(), configuration.organisations, self._policy
         )
         self._lending = Lending(
-            self._by_service, self._covered, configuration.count_guaranteed()
+            self._by_service,
+            self._covered,
+            configuration.count_guaranteed(),
+            memory.policies.reserve,
         )
         self._rooms = self._measure_rooms()
         for name, room in self._rooms.items():
@@ -186,18 +188,19 @@
         return self._earnings[key]
 
     def _order(self, units: list[UnitState]) -> list[UnitState]:
-        def rank(
-            unit: UnitState,
-        ) -> tuple[bool, bool, bool, int, Earning, float]:
+        ordering = self._memory.policies.ordering
+
+        def rank(unit: UnitState) -> tuple[float, ...]:
             job = unit.job
-            earning = self._get_earning(unit)
-            return (
-                job.request.job_id not in self._covered,
-                not unit.spec.is_long_running,
-                earning is Earning.NOTHING,
-                self._policy(job).priority,
-                earning,
-                max(job.request.accepted_at_s, job.due_s(unit.occurrence)),
+            due_s = job.due_s(unit.occurrence)
+            return ordering.rank(
+                UnitStanding(
+                    job.request.job_id in self._covered,
+                    unit.spec.is_long_running,
+                    self._policy(job).priority,
+                    self._get_earning(unit),
+                    max(job.request.accepted_at_s, due_s),
+                )
             )
 
         return sorted(units, key=rank)
@@ -246,10 +249,10 @@
         avoided = self._memory.get_avoided(unit)
         if avoided:
             others = {n: room for n, room in rooms.items() if n not in avoided}
-            assignment = place_unit(unit, others, allow_far=allow_far)
+            assignment = self._place_in(unit, others, allow_far)
             if assignment is not None:
                 return assignment
-        assignment = place_unit(unit, rooms, allow_far=allow_far)
+        assignment = self._place_in(unit, rooms, allow_far)
         if assignment is not None:
             return assignment
         if reserved is not None:
@@ -271,6 +274,12 @@
         )
         return None
 
+    def _place_in(
+        self, unit: UnitState, rooms: Rooms, allow_far: bool
+    ) -> Assignment | None:
+        packing = self._memory.policies.packing
+        return place_unit(unit, rooms, allow_far=allow_far, packing=packing)
+
     def _may_evict(self, unit: UnitState, policy: QueuePolicy) -> bool:
         """Whether others may be stopped for a unit.
 
@@ -342,7 +351,13 @@
             for worker, units in self._lending.lent.items()
         }
         eviction = find_eviction(
-            unit, rooms, lent, self._make_cost(), allow_far=allow_far
+            unit,
+            rooms,
+            lent,
+            self._make_cost(),
+            allow_far=allow_far,
+            policy=self._memory.policies.eviction,
+            packing=self._memory.policies.packing,
         )
         if eviction is None:
             return
@@ -365,16 +380,13 @@
         def get_cost(unit: UnitState) -> float:
             """Core-seconds thrown away by stopping a unit now."""
             if unit.key not in costs:
-                step = unit.spec
-                cores = step.cpu_millis / 1000
-                cores += ACCELERATOR_CORES * step.accelerators
                 lost_s = sum(
                     session.orders.get_lost_s(task)
                     for task in unit.tasks
                     if task.placement is not None
                     and (session := self._sessions.get(task.placement.worker))
                 )
-                costs[unit.key] = cores * lost_s
+                costs[unit.key] = count_cores(unit.spec) * lost_s
             return costs[unit.key]
 
         return get_cost
--- a/lagoonbeam/site/scheduler.py
+++ b/lagoonbeam/site/scheduler.py
@@ -20,9 +20,9 @@
 from lagoonbeam.site.journal import JournalFollower
 from lagoonbeam.site.machines import DutyHolder
 from lagoonbeam.site.model import Configuration, End, QueuePolicy
-from lagoonbeam.site.placement import get_step_id
 from lagoonbeam.site.plan_memory import PlanMemory
 from lagoonbeam.site.planner import make_plan
+from lagoonbeam.site.policies import Policies
 from lagoonbeam.site.pools import Pools, Shortage
 from lagoonbeam.site.ports import Ports, Writer
 from lagoonbeam.site.records import (
@@ -33,6 +33,7 @@
     TermResigned,
     split_placements,
 )
+from lagoonbeam.site.rooms import get_step_id
 from lagoonbeam.site.state import SiteState
 from lagoonbeam.site.upkeep import Upkeep
 from lagoonbeam.site.vacating import Vacating
@@ -66,6 +67,7 @@
         sequence: Number of its next append.
         get_configuration: Returns the configuration in force.
         bounds: Times that the platform gives.
+        policies: The policies in force.
         decisions: The decision log.
     """
 
@@ -79,6 +81,7 @@
         sequence: int,
         get_configuration: Callable[[], Configuration],
         bounds: SchedulerBounds,
+        policies: Policies,
         decisions: Decisions,
     ):
         self.token = writer.epoch
@@ -104,7 +107,7 @@
         )
         self._scope = anyio.CancelScope()
         self._wake = anyio.Event()
-        self._memory = PlanMemory(decisions, self._advice)
+        self._memory = PlanMemory(decisions, self._advice, policies=policies)
         self._endings = Endings(
             lambda: self.state,
             self._policy,
--- a/lagoonbeam/site/vacating.py
+++ b/lagoonbeam/site/vacating.py
@@ -7,8 +7,8 @@
 
 from lagoonbeam.site.entries import TaskState, UnitState
 from lagoonbeam.site.fleet import Fleet
-from lagoonbeam.site.placement import ACCELERATOR_CORES
 from lagoonbeam.site.plan_memory import PlanMemory
+from lagoonbeam.site.rooms import count_cores
 from lagoonbeam.site.state import SiteState
 
 WORKING_PERCENT = 100.0
@@ -70,11 +70,7 @@
         if session is None:
             return 0.0
         return sum(
-            session.orders.get_lost_s(task)
-            * (
-                task.unit.spec.cpu_millis / 1000
-                + ACCELERATOR_CORES * task.unit.spec.accelerators
-            )
+            session.orders.get_lost_s(task) * count_cores(task.unit.spec)
             for task in self._get_state().placed.get(worker, {}).values()
         )
 
--- a/tests/site/test_planner.py
+++ b/tests/site/test_planner.py
@@ -8,10 +8,12 @@
 from lagoonbeam.site.durations import Durations, Earning
 from lagoonbeam.site.guarantees import find_covered
 from lagoonbeam.site.model import End, Step
-from lagoonbeam.site.placement import make_room, place_unit
+from lagoonbeam.site.packing import FullestFirst
+from lagoonbeam.site.placement import place_unit
 from lagoonbeam.site.plan_memory import PlanMemory
 from lagoonbeam.site.planner import Plan, make_plan
 from lagoonbeam.site.records import RunEnd, RunsEnded
+from lagoonbeam.site.rooms import make_room
 from lagoonbeam.site.state import SiteState
 from tests.site.builders import (
     accept,
@@ -153,7 +155,7 @@
     rooms = {f"w{n}": make_room(make_report(f"w{n}")) for n in range(3)}
     rooms["w1"].accelerators = 4
     rooms["w2"].accelerators = 3
-    assignment = place_unit(unit, rooms, allow_far=True)
+    assignment = place_unit(unit, rooms, allow_far=True, packing=FullestFirst())
     assert assignment is not None
     assert assignment[0][1] == "w1"
 
