Site: work that would soon earn less may use the reserve; racks in use first

Change: reserve 'share_until_due' releases units with less than 8 s of slack before they earn less (durations.get_prospect); packing 'compact' fills the racks in use first. Both are the defaults; a rack kept for a waiting gang stays kept.

--- a/lagoonbeam/site/lending.py
+++ b/lagoonbeam/site/lending.py
@@ -87,6 +87,10 @@
         key = (policy.service, policy.priority)
         if key not in self._allowed:
             self._allowed[key] = self._choose(policy)
+        return self.get_unkept(policy, self._allowed[key])
+
+    def get_unkept(self, policy: QueuePolicy, rooms: Rooms) -> Rooms:
+        """Returns rooms without those kept for higher priorities."""
         kept = set(
             chain.from_iterable(
                 names
@@ -94,7 +98,6 @@
                 if priority < policy.priority
             )
         )
-        rooms = self._allowed[key]
         if not kept:
             return rooms
         return {name: room for name, room in rooms.items() if name not in kept}
--- a/lagoonbeam/site/packing.py
+++ b/lagoonbeam/site/packing.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from abc import ABC, abstractmethod
+from collections import defaultdict
 from collections.abc import Iterable
 
 from lagoonbeam.core.registry import Registry
@@ -46,6 +47,29 @@
         )
 
 
+@PACKINGS.register("compact")
+class Compact(PackingPolicy):
+    """Fills the racks in use first, and there the fullest workers."""
+
+    def sort(self, unit: UnitState, rooms: Iterable[Room]) -> list[Room]:
+        """Returns rooms in the order in which they are filled."""
+        size = unit.spec.accelerators
+        rooms = list(rooms)
+        free: dict[str, int] = defaultdict(int)
+        for room in rooms:
+            free[room.report.rack] += room.accelerators
+        return sorted(
+            rooms,
+            key=lambda room: (
+                room.accelerators % size if size else 0,
+                free[room.report.rack],
+                room.report.rack,
+                room.accelerators,
+                room.cpu_millis,
+            ),
+        )
+
+
 @PACKINGS.register("first_fit")
 class FirstFit(PackingPolicy):
     """Fills workers in the order of their names; a baseline."""
--- a/lagoonbeam/site/planner.py
+++ b/lagoonbeam/site/planner.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass, field
 from itertools import chain
 
-from lagoonbeam.site.durations import Earning
+from lagoonbeam.site.durations import Earning, Prospect
 from lagoonbeam.site.entries import JobEntry, UnitState
 from lagoonbeam.site.eviction import find_eviction
 from lagoonbeam.site.guarantees import find_covered
@@ -101,7 +101,7 @@
         self._configuration = configuration
         self._now_s = memory.clock.read_wall_s()
         self._policies: dict[str, QueuePolicy] = {}
-        self._earnings: dict[tuple[str, int, int], Earning] = {}
+        self._prospects: dict[tuple[str, int, int], Prospect] = {}
         self._full: set[tuple[object, ...]] = set()
         self._by_service: dict[str, Rooms] = defaultdict(dict)
         self._covered = find_covered(
@@ -179,13 +179,13 @@
                 )
         return ready
 
-    def _get_earning(self, unit: UnitState) -> Earning:
+    def _get_prospect(self, unit: UnitState) -> Prospect:
         key = step_key(unit)
-        if key not in self._earnings:
-            self._earnings[key] = self._memory.durations.get_earning(
+        if key not in self._prospects:
+            self._prospects[key] = self._memory.durations.get_prospect(
                 unit, self._policy(unit.job), self._now_s
             )
-        return self._earnings[key]
+        return self._prospects[key]
 
     def _order(self, units: list[UnitState]) -> list[UnitState]:
         ordering = self._memory.policies.ordering
@@ -198,7 +198,7 @@
                     job.request.job_id in self._covered,
                     unit.spec.is_long_running,
                     self._policy(job).priority,
-                    self._get_earning(unit),
+                    self._get_prospect(unit).earning,
                     max(job.request.accepted_at_s, due_s),
                 )
             )
@@ -240,10 +240,7 @@
                 unstoppable=self._lending.unstoppable[policy.service],
             )
             return None
-        rooms = usable
-        has_waited = self._get_wait_s(unit) > IDLE_PATIENCE_S
-        if policy.priority > 0 and not (has_waited and self._is_idle(usable)):
-            rooms = self._lending.get_allowed(policy)
+        rooms = self._choose_rooms(unit, policy)
         if policy.is_advised:
             rooms = self._limit_to_advised(unit, rooms)
         avoided = self._memory.get_avoided(unit)
@@ -260,9 +257,12 @@
             self._memory.reserved[unit.key] = reserved
         elif self._may_evict(unit, policy):
             self._evict(unit, rooms if policy.is_advised else usable, allow_far)
-        elif unit.spec.is_gang and self._get_earning(unit) is Earning.FULL:
+        elif (
+            unit.spec.is_gang
+            and self._get_prospect(unit).earning is Earning.FULL
+        ):
             self._lending.keep_for(unit, policy, rooms)
-        if self._get_earning(unit) is Earning.FULL:
+        if self._get_prospect(unit).earning is Earning.FULL:
             self._plan.short.setdefault(policy.service, unit.spec)
         self._memory.note_waiting(
             unit,
@@ -274,6 +274,17 @@
         )
         return None
 
+    def _choose_rooms(self, unit: UnitState, policy: QueuePolicy) -> Rooms:
+        """Returns the workers that a unit may use."""
+        usable = self._by_service[policy.service]
+        has_waited = self._get_wait_s(unit) > IDLE_PATIENCE_S
+        if policy.priority == 0 or (has_waited and self._is_idle(usable)):
+            return usable
+        prospect = self._get_prospect(unit)
+        if self._memory.policies.reserve.releases(prospect):
+            return self._lending.get_unkept(policy, usable)
+        return self._lending.get_allowed(policy)
+
     def _place_in(
         self, unit: UnitState, rooms: Rooms, allow_far: bool
     ) -> Assignment | None:
--- a/lagoonbeam/site/policies.py
+++ b/lagoonbeam/site/policies.py
@@ -23,8 +23,8 @@
     """
 
     ordering: str = "earning"
-    packing: str = "fullest"
-    reserve: str = "share"
+    packing: str = "compact"
+    reserve: str = "share_until_due"
     eviction: str = "least_lost"
 
 
