Site: plans that do not grow with all that runs

Cause: each plan added up all runs again, asked for each waiting unit whether the whole service is idle and whether an empty fleet could hold it, and tried units of equal needs one by one; a plan that was cut short began anew with the same units, so that the last ones might never be tried and the loop never rest. Ruled out: a longer budget (the loop must not pause for 50 ms). Change: usage.py keeps what runs take by worker until they change; patience.py asks once a plan; units with equal needs share one try (get_demand); a cut plan goes on where it stopped; a search for what to stop looks at 120 workers at most; the budget of a plan is 20 ms.

--- a/lagoonbeam/site/eviction.py
+++ b/lagoonbeam/site/eviction.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 from abc import ABC, abstractmethod
 from collections import defaultdict
 from collections.abc import Callable, Iterable, Mapping
@@ -13,6 +14,10 @@
 from lagoonbeam.site.placement import Assignment, pack_unit
 from lagoonbeam.site.rooms import Room, Rooms, is_suited
 
+SEARCHED_WORKERS = 120
+"""Most workers that one search looks at, so that it stays within some
+milliseconds at any size; the emptiest come first."""
+
 GetCost = Callable[[UnitState], float]
 
 
@@ -113,9 +118,11 @@
     if step.data_rack in racks and not allow_far:
         groups = [racks[step.data_rack]]
     elif step.is_one_rack and len(unit.tasks) > 1 and not allow_far:
-        groups = list(racks.values())
+        groups = _limit_racks(list(racks.values()))
     else:
-        groups = [{w: r for rack in racks.values() for w, r in rack.items()}]
+        suited = [room for rack in racks.values() for room in rack.values()]
+        suited.sort(key=_count_busy)
+        groups = [{r.report.worker: r for r in suited[:SEARCHED_WORKERS]}]
     searches = (
         _Search(unit, group, lent, get_cost, policy) for group in groups
     )
@@ -127,6 +134,21 @@
     )
 
 
+def _limit_racks(racks: list[Rooms]) -> list[Rooms]:
+    """Returns the emptiest racks, within the bound of a search."""
+    racks.sort(key=lambda rack: sum(map(_count_busy, rack.values())))
+    counts = itertools.accumulate(map(len, racks))
+    return [
+        rack
+        for rack, count in zip(racks, counts, strict=True)
+        if count <= SEARCHED_WORKERS or rack is racks[0]
+    ]
+
+
+def _count_busy(room: Room) -> int:
+    return room.report.accelerators - room.accelerators
+
+
 @dataclass(slots=True)
 class _Opening:
     """What to stop on one worker so that more tasks fit there.
--- a/lagoonbeam/site/lending.py
+++ b/lagoonbeam/site/lending.py
@@ -10,6 +10,7 @@
 from lagoonbeam.site.model import QueuePolicy
 from lagoonbeam.site.reserve import ReservePolicy
 from lagoonbeam.site.rooms import Room, Rooms, is_suited
+from lagoonbeam.site.usage import WorkerUse
 
 
 class Lending:
@@ -39,29 +40,20 @@
         self.urgent_accelerators: dict[str, int] = defaultdict(int)
         self.unstoppable: dict[str, int] = defaultdict(int)
 
-    def note_run(
-        self, worker: str, unit: UnitState, policy: QueuePolicy
-    ) -> None:
-        """Takes a task's run into account.
-
-        Long-running tasks are never lent, nor are those that must not run
-        again.
-        """
-        self.hold(unit, policy, 1)
-        if unit.spec.is_long_running or unit.job.request.runs_once:
-            return
-        if policy.priority > 0:
-            self.lent[worker][unit.key] = unit
-        else:
-            used = unit.spec.accelerators
-            self.urgent_accelerators[policy.service] += used
+    def note_use(self, worker: str, service: str, use: WorkerUse) -> None:
+        """Takes the runs of a worker into account."""
+        if use.lent:
+            self.lent[worker] = dict(use.lent)
+        self.urgent_accelerators[service] += use.urgent
+        for unit in use.once:
+            self.hold(unit, service, 1)
 
-    def hold(self, unit: UnitState, policy: QueuePolicy, tasks: int) -> None:
+    def hold(self, unit: UnitState, service: str, tasks: int) -> None:
         """Takes tasks into account that no guarantee can reclaim."""
         request = unit.job.request
         if request.runs_once and request.job_id not in self._covered:
             used = tasks * unit.spec.accelerators
-            self.unstoppable[policy.service] += used
+            self.unstoppable[service] += used
 
     def may_hold(self, unit: UnitState, policy: QueuePolicy) -> bool:
         """Whether a unit leaves the guarantees reclaimable.
--- a/lagoonbeam/site/plan_memory.py
+++ b/lagoonbeam/site/plan_memory.py
@@ -12,6 +12,7 @@
 from lagoonbeam.site.placement import Assignment
 from lagoonbeam.site.policies import Policies, make_policies
 from lagoonbeam.site.state import SiteState
+from lagoonbeam.site.usage import Usage
 
 EVICTION_S = 2.0
 """Seconds that room is kept for a unit after its victims were stopped."""
@@ -49,6 +50,8 @@
         self.durations = Durations()
         self.launching: dict[str, Assignment] = {}
         self.reserved: dict[str, Reserved] = {}
+        self.tried: set[str] = set()
+        self.usage = Usage()
         self.decisions = decisions
         self.advice = advice
         self._waiting: dict[str, int] = {}
--- a/lagoonbeam/site/planner.py
+++ b/lagoonbeam/site/planner.py
@@ -15,14 +15,16 @@
 from lagoonbeam.site.lending import Lending
 from lagoonbeam.site.model import Configuration, QueuePolicy, Step
 from lagoonbeam.site.ordering import UnitStanding
-from lagoonbeam.site.placement import Assignment, could_be_near, place_unit
+from lagoonbeam.site.patience import Patience
+from lagoonbeam.site.placement import Assignment, place_unit
 from lagoonbeam.site.plan_memory import PlanMemory
 from lagoonbeam.site.rooms import (
+    Room,
     Rooms,
     count_cores,
+    get_demand,
     get_step_id,
     is_suited,
-    make_room,
     step_key,
 )
 from lagoonbeam.site.session import WorkerSession
@@ -30,18 +32,9 @@
 
 PLACED_AT_ONCE = 40
 """Most units placed in one plan, so that a plan stays short."""
-PLAN_BUDGET_S = 0.03
+PLAN_BUDGET_S = 0.02
 """Seconds after which a plan leaves the rest to the next one; the loop must
 not pause for 50 ms."""
-FAR_AFTER_RUNS = 2.0
-"""Run times that a unit waits for a place where it runs at full speed; away
-from it, it takes three times as long."""
-LONGEST_PATIENCE_S = 10.0
-"""Longest wait for a place at full speed; the platform asks for all waiting
-work to run 14 seconds after the last caller."""
-IDLE_PATIENCE_S = 2.0
-"""Longest such wait while less than half of the capacity is in use; then
-work that could run must not wait for three seconds."""
 
 
 @dataclass(slots=True)
@@ -116,31 +109,37 @@
         self._rooms = self._measure_rooms()
         for name, room in self._rooms.items():
             self._by_service[room.report.service][name] = room
-        self._near: dict[tuple[str, int, int], bool] = {}
+        self._patience = Patience(memory.durations, self._now_s)
         self._plan = Plan()
 
     def run(self) -> Plan:
         """Returns the plan."""
         ends_s = time.monotonic() + PLAN_BUDGET_S
+        tried = self._memory.tried
         for unit in self._order(self._find_ready()):
+            if unit.key in tried:
+                continue
             if (
                 len(self._plan.starts) >= PLACED_AT_ONCE
                 or time.monotonic() > ends_s
             ):
                 self._plan.is_cut_short = True
-                break
-            shape = self._shape(unit)
+                return self._plan
+            tried.add(unit.key)
+            shape = self._get_shape(unit)
             if shape in self._full:
                 continue
             assignment = self._place(unit)
             if assignment is None:
-                self._full.add(shape)
+                if unit.key not in self._memory.reserved:
+                    self._full.add(shape)
                 continue
             for _, worker in assignment:
                 self._rooms[worker].take(unit)
             self._hold(unit)
             self._plan.starts.append((unit, assignment))
             self._memory.launching[unit.key] = assignment
+        tried.clear()
         return self._plan
 
     def _policy(self, job: JobEntry) -> QueuePolicy:
@@ -152,13 +151,28 @@
             policy = self._policies[accepted.name] = found or accepted
         return policy
 
-    def _shape(self, unit: UnitState) -> tuple[object, ...]:
+    def _get_shape(self, unit: UnitState) -> tuple[object, ...]:
         """Identifies units that fit in the same places."""
-        if self._memory.get_avoided(unit):
-            return (unit.key,)
-        if unit.key in self._memory.reserved or len(unit.tasks) > 1:
+        policy = self._policy(unit.job)
+        step = unit.spec
+        is_alone = (
+            unit.key in self._memory.reserved
+            or bool(self._memory.get_avoided(unit))
+            or bool(step.max_per_worker)
+            or policy.is_advised
+            or unit.job.request.runs_once
+        )
+        if is_alone:
             return (unit.key,)
-        return (*step_key(unit),)
+        return (
+            policy.name,
+            self._patience.may_be_far(
+                unit, policy.service, self._by_service[policy.service]
+            ),
+            self._patience.has_waited(unit),
+            self._may_evict(unit, policy),
+            *get_demand(unit),
+        )
 
     def _find_ready(self) -> list[UnitState]:
         launching = self._memory.launching
@@ -207,15 +221,20 @@
         return sorted(units, key=rank)
 
     def _measure_rooms(self) -> Rooms:
-        rooms = {
-            name: make_room(session.report)
-            for name, session in self._usable.items()
-        }
-        for name, room in rooms.items():
-            for task in self._state.placed.get(name, {}).values():
-                unit = task.unit
-                room.take(unit)
-                self._lending.note_run(name, unit, self._policy(unit.job))
+        usage = self._memory.usage
+        usage.prepare(self._state, self._configuration.version)
+        rooms: Rooms = {}
+        for name, session in self._usable.items():
+            report = session.report
+            use = usage.get(self._state, name, self._policy)
+            rooms[name] = Room(
+                report,
+                report.cpu_millis - use.cpu_millis,
+                report.memory_mb - use.memory_mb,
+                report.accelerators - use.accelerators,
+                use.tasks,
+            )
+            self._lending.note_use(name, report.service, use)
         promised = chain(
             self._memory.launching.values(),
             (r.assignment for r in self._memory.reserved.values()),
@@ -233,7 +252,7 @@
         reserved = self._memory.reserved.pop(unit.key, None)
         if reserved is not None:
             self._take(reserved.assignment, -1)
-        allow_far = self._may_be_far(unit, usable)
+        allow_far = self._patience.may_be_far(unit, policy.service, usable)
         if not self._lending.may_hold(unit, policy):
             self._memory.note_waiting(
                 unit,
@@ -275,8 +294,10 @@
     def _choose_rooms(self, unit: UnitState, policy: QueuePolicy) -> Rooms:
         """Returns the workers that a unit may use."""
         usable = self._by_service[policy.service]
-        has_waited = self._get_wait_s(unit) > IDLE_PATIENCE_S
-        if policy.priority == 0 or (has_waited and self._is_idle(usable)):
+        has_waited = self._patience.has_waited(unit)
+        if policy.priority == 0 or (
+            has_waited and self._patience.is_idle(policy.service, usable)
+        ):
             return usable
         return self._lending.get_allowed(policy)
 
@@ -295,8 +316,8 @@
         return policy.priority == 0 or was_running
 
     def _hold(self, unit: UnitState) -> None:
-        policy = self._policy(unit.job)
-        self._lending.hold(unit, policy, len(unit.tasks))
+        service = self._policy(unit.job).service
+        self._lending.hold(unit, service, len(unit.tasks))
 
     def _limit_to_advised(self, unit: UnitState, rooms: Rooms) -> Rooms:
         """Returns the workers with a ticket, and asks about the others."""
@@ -323,34 +344,6 @@
             if worker in self._rooms:
                 self._rooms[worker].take(task.unit, count)
 
-    def _get_wait_s(self, unit: UnitState) -> float:
-        """Returns the seconds since a unit's job was accepted or due."""
-        request = unit.job.request
-        due_s = unit.job.due_s(unit.occurrence)
-        return self._now_s - max(request.accepted_at_s, due_s)
-
-    def _may_be_far(self, unit: UnitState, rooms: Rooms) -> bool:
-        run_s = self._memory.durations.estimate_s(unit)
-        patience_s = min(FAR_AFTER_RUNS * run_s, LONGEST_PATIENCE_S)
-        if self._is_idle(rooms):
-            patience_s = min(patience_s, IDLE_PATIENCE_S)
-        if self._get_wait_s(unit) > patience_s:
-            return True
-        key = step_key(unit)
-        if key not in self._near:
-            reports = [room.report for room in rooms.values()]
-            self._near[key] = could_be_near(unit, reports)
-        return not self._near[key]
-
-    def _is_idle(self, rooms: Rooms) -> bool:
-        """Whether less than half of a service's capacity is in use."""
-        whole = [room.report for room in rooms.values()]
-        free = sum(room.accelerators for room in rooms.values())
-        free_millis = sum(room.cpu_millis for room in rooms.values())
-        return 2 * free > sum(r.accelerators for r in whole) and (
-            2 * free_millis > sum(r.cpu_millis for r in whole)
-        )
-
     def _evict(self, unit: UnitState, rooms: Rooms, allow_far: bool) -> None:
         lent = {
             worker: list(units.values())
--- a/lagoonbeam/site/rooms.py
+++ b/lagoonbeam/site/rooms.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections import defaultdict
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 
 from lagoonbeam.site.entries import UnitState
@@ -12,6 +12,10 @@
 """Cores that an accelerator counts as when work is thrown away."""
 
 
+StepKey = tuple[str, int, int]
+"""Identifies a step of an occurrence: job, occurrence, step."""
+
+
 @dataclass(slots=True)
 class Room:
     """What is free on one worker.
@@ -21,16 +25,14 @@
         cpu_millis: Free processor share, in thousandths of a core.
         memory_mb: Free memory.
         accelerators: Free accelerators.
-        tasks: Tasks present, by (job, occurrence, step).
+        tasks: Tasks present, by step.
     """
 
     report: WorkerReport
     cpu_millis: int
     memory_mb: int
     accelerators: int
-    tasks: dict[tuple[str, int, int], int] = field(
-        default_factory=lambda: defaultdict(int)
-    )
+    tasks: Mapping[StepKey, int] = field(default_factory=dict)
 
     def count_fitting(self, unit: UnitState, most: int) -> int:
         """Returns how many tasks of a unit fit, at most so many."""
@@ -43,7 +45,9 @@
         if step.accelerators:
             counts.append(self.accelerators // step.accelerators)
         if step.max_per_worker:
-            counts.append(step.max_per_worker - self.tasks[step_key(unit)])
+            counts.append(
+                step.max_per_worker - self.tasks.get(step_key(unit), 0)
+            )
         return max(0, min(counts))
 
     def take(self, unit: UnitState, count: int = 1) -> None:
@@ -53,24 +57,24 @@
             self.cpu_millis -= step.cpu_millis * count
         self.memory_mb -= step.memory_mb * count
         self.accelerators -= step.accelerators * count
-        self.tasks[step_key(unit)] += count
+        key = step_key(unit)
+        self.tasks = {**self.tasks, key: self.tasks.get(key, 0) + count}
 
     def copy(self) -> Room:
         """Returns a room that can be changed by itself."""
-        tasks: dict[tuple[str, int, int], int] = defaultdict(int, self.tasks)
         return Room(
             self.report,
             self.cpu_millis,
             self.memory_mb,
             self.accelerators,
-            tasks,
+            self.tasks,
         )
 
 
 Rooms = dict[str, Room]
 
 
-def step_key(unit: UnitState) -> tuple[str, int, int]:
+def step_key(unit: UnitState) -> StepKey:
     """Identifies the step of an occurrence that a unit belongs to."""
     return (unit.job.request.job_id, unit.occurrence, unit.step)
 
@@ -80,6 +84,23 @@
     return make_step_id(*step_key(unit))
 
 
+def get_demand(unit: UnitState) -> tuple[object, ...]:
+    """Returns what a unit needs of its workers; equal for equal needs."""
+    step = unit.spec
+    return (
+        unit.job.request.queue.service,
+        len(unit.tasks),
+        step.cpu_millis,
+        step.memory_mb,
+        step.accelerators,
+        step.is_one_rack,
+        step.required_label,
+        step.data_rack,
+        step.max_per_worker,
+        step.is_filling,
+    )
+
+
 def is_suited(report: WorkerReport, step: Step) -> bool:
     """Whether a worker has the label that a step requires."""
     return not step.required_label or step.required_label in report.labels
--- a/lagoonbeam/site/snapshot.py
+++ b/lagoonbeam/site/snapshot.py
@@ -164,9 +164,7 @@
             task.run = run
             task.is_done = item.is_done
         for placement in item.placements:
-            task = by_id[placement.task_id]
-            task.placement = placement
-            state.placed[placement.worker][task.task_id] = task
+            state.set_placement(by_id[placement.task_id], placement)
         state.review(unit)
     if stored.state in (JobState.QUEUED, JobState.RUNNING):
         job.state = stored.state
--- a/lagoonbeam/site/state.py
+++ b/lagoonbeam/site/state.py
@@ -22,6 +22,7 @@
     JobFailed,
     MachineMoved,
     MachineServiced,
+    Placement,
     Record,
     RunEnd,
     RunsEnded,
@@ -81,7 +82,11 @@
 
 
 class SiteState:
-    """All jobs, runs, instances and machine orders, folded from the journal."""
+    """All jobs, runs, instances and machine orders, folded from the journal.
+
+    Attributes:
+        changes: How often the runs of each worker have changed.
+    """
 
     def __init__(self) -> None:
         self.jobs: dict[str, JobEntry] = {}
@@ -92,6 +97,7 @@
         self.waves: dict[int, WaveEntry] = {}
         self.completed_waves: set[int] = set()
         self.lent_machines: dict[str, Loan] = {}
+        self.changes: dict[str, int] = defaultdict(int)
         self._open: dict[str, JobEntry] = {}
         self._waiting: dict[str, UnitState] = {}
         self._ended: dict[str, None] = {}
@@ -163,8 +169,16 @@
         """Notes that no run of a task exists."""
         if task.placement is not None:
             self.placed[task.placement.worker].pop(task.task_id, None)
+            self.changes[task.placement.worker] += 1
             task.placement = None
 
+    def set_placement(self, task: TaskState, placement: Placement) -> None:
+        """Notes that a run of a task may exist."""
+        self.clear_placement(task)
+        task.placement = placement
+        self.placed[placement.worker][task.task_id] = task
+        self.changes[placement.worker] += 1
+
     def _forget(self, job_id: str) -> None:
         del self._ended[job_id]
         job = self.jobs.pop(job_id, None)
@@ -265,10 +279,8 @@
         task = state.tasks.get(placement.task_id)
         if task is None:
             continue
-        state.clear_placement(task)
         task.run = placement.run
-        task.placement = placement
-        state.placed[placement.worker][task.task_id] = task
+        state.set_placement(task, placement)
         state.review(task.unit)
         job = task.unit.job
         job.has_started = True
