One event model; each kind of line is written at one place

Cause: events were strings at 45 places; refusals, dependencies and reloads were each written at two or three, and the page could miss one. Change: site/events.py lists the kinds; the decision log, the metrics and 'lagoonbeam explain' use it; one place writes each (service.note_refusal, DependencyWatch, _reload). Tests: each event has exactly one emitting call; the operations page names all.

--- a/lagoonbeam/commands/explain.py
+++ b/lagoonbeam/commands/explain.py
@@ -13,27 +13,13 @@
 import typer
 
 from lagoonbeam.commands.running import EXIT_FAILED
+from lagoonbeam.site.events import SYSTEM_EVENTS, Event
 
 _LINE = re.compile(r"^\s*(?:(?P<at>-?\d+\.\d+) +\S+ )?(?P<json>\{.*\})\s*$")
 """A decision, after the time and name that a collector may put before it."""
 _HIDDEN = frozenset(
     {"levelname", "instance", "availability_zone", "event", "at_s"}
 )
-SYSTEM_EVENTS = frozenset(
-    {
-        "configuration.in_force",
-        "dependency",
-        "instance.drain",
-        "instance.start",
-        "instance.stop",
-        "store.route",
-        "term.claimed",
-        "term.lost",
-        "worker.lapsed",
-        "worker.restarted",
-    }
-)
-"""Events that belong to every story."""
 
 
 @dataclass(frozen=True, order=True)
@@ -124,20 +110,20 @@
             continue
         fields = dict(line.fields)
         last[line.event] = fields
-        if line.event == "unit.waits":
+        if line.event == Event.UNIT_WAITS:
             waits.append(fields)
-        if line.event == "run.stop" and "room for" in fields["cause"]:
+        if line.event == Event.RUN_STOP and "room for" in fields["cause"]:
             stops.append(fields)
-    ended = last.get("job.ended")
+    ended = last.get(Event.JOB_ENDED)
     if ended is not None and ended["state"] == "failed":
         return (
             f"failed: {ended['task']} failed {ended['failures']} times,"
             f" {ended['allowed']} are allowed"
         )
-    if "job.cancelled" in last:
+    if Event.JOB_CANCELLED in last:
         return "cancelled by its caller"
-    refused = last.get("request.refused")
-    if ended is None and "job.accepted" not in last and refused is not None:
+    refused = last.get(Event.REQUEST_REFUSED)
+    if ended is None and Event.JOB_ACCEPTED not in last and refused is not None:
         return f"refused with {refused['status']}: {refused['cause']}"
     if ended is None:
         wait = f"; it waits: {_show(waits[-1])}" if waits else ""
--- a/lagoonbeam/site/advice.py
+++ b/lagoonbeam/site/advice.py
@@ -11,6 +11,7 @@
 
 from lagoonbeam.errors import LagoonbeamError
 from lagoonbeam.site.decisions import Decisions
+from lagoonbeam.site.events import Event
 from lagoonbeam.site.journal import jitter
 from lagoonbeam.site.ports import AdviceService
 
@@ -101,7 +102,9 @@
         try:
             advice = await service.ask(step, workers)
         except LagoonbeamError as error:
-            self._decisions.emit("advice.failed", step=step, cause=str(error))
+            self._decisions.emit(
+                Event.ADVICE_FAILED, step=step, cause=str(error)
+            )
             await anyio.sleep(jitter(RETRY_S))
             return
         until_s = time.monotonic() + advice.valid_s
@@ -114,7 +117,7 @@
                     ticket, named[worker], until_s
                 )
         self._decisions.emit(
-            "advice.given",
+            Event.ADVICE_GIVEN,
             step=step,
             asked=len(workers),
             allowed=len(advice.tickets),
--- a/lagoonbeam/site/decisions.py
+++ b/lagoonbeam/site/decisions.py
@@ -13,25 +13,11 @@
 
 from pythonjsonlogger.json import JsonFormatter
 
+from lagoonbeam.site.events import ALWAYS_WRITTEN, Event
 from lagoonbeam.site.metrics import Metrics
 
 LINES_PER_S = 200
 """Lines of one process a second before like lines are left out."""
-ALWAYS_WRITTEN = frozenset(
-    {
-        "dependency",
-        "instance.drain",
-        "instance.start",
-        "instance.stop",
-        "job.accepted",
-        "job.cancelled",
-        "job.ended",
-        "settings.reload",
-        "term.claimed",
-        "term.lost",
-    }
-)
-"""Events that no budget leaves out."""
 
 
 class NonBlockingHandler(logging.Handler):
@@ -97,20 +83,23 @@
         self._lines = 0
         self._left_out = 0
 
-    def emit(self, event: str, **fields: Any) -> None:
+    def emit(self, event: Event, **fields: Any) -> None:
         """Writes one line.
 
         Args:
-            event: What was decided, as ``noun.verb``.
+            event: What was decided.
             fields: Inputs that decided it, their age, and the outcome.
         """
-        self.metrics.decisions.labels(event).inc()
+        self.metrics.decisions.labels(event.value).inc()
         now_s = time.monotonic()
         if int(now_s) != self._second:
             self._second, self._lines = int(now_s), 0
             if self._left_out:
                 self._logger.info(
-                    {"event": "log.left_out", "lines": self._left_out}
+                    {
+                        "event": Event.LOG_LEFT_OUT.value,
+                        "lines": self._left_out,
+                    }
                 )
                 self._left_out = 0
         self._lines += 1
@@ -118,4 +107,6 @@
             self._left_out += 1
             self.metrics.lines_left_out.inc()
             return
-        self._logger.info({"event": event, "at_s": round(now_s, 3), **fields})
+        self._logger.info(
+            {"event": event.value, "at_s": round(now_s, 3), **fields}
+        )
--- a/lagoonbeam/site/dependency.py
+++ b/lagoonbeam/site/dependency.py
@@ -6,6 +6,7 @@
 
 from lagoonbeam.errors import LagoonbeamError
 from lagoonbeam.site.decisions import Decisions
+from lagoonbeam.site.events import Event
 
 
 class DependencyWatch:
@@ -33,16 +34,18 @@
 
     def lose(self, error: LagoonbeamError) -> None:
         """Notes a failure."""
-        if not self._is_lost:
-            self._is_lost = True
-            self._decisions.emit(
-                "dependency", name=self._name, state="lost", cause=str(error)
-            )
+        self._set_lost(True, str(error))
 
     def regain(self) -> None:
         """Notes a success."""
-        if self._is_lost:
-            self._is_lost = False
+        self._set_lost(False, "")
+
+    def _set_lost(self, is_lost: bool, cause: str) -> None:
+        if is_lost != self._is_lost:
+            self._is_lost = is_lost
             self._decisions.emit(
-                "dependency", name=self._name, state="regained"
+                Event.DEPENDENCY,
+                name=self._name,
+                state="lost" if is_lost else "regained",
+                cause=cause,
             )
--- a/lagoonbeam/site/endings.py
+++ b/lagoonbeam/site/endings.py
@@ -7,6 +7,7 @@
 
 from lagoonbeam.site.decisions import Decisions
 from lagoonbeam.site.entries import JobEntry, UnitState
+from lagoonbeam.site.events import Event
 from lagoonbeam.site.model import End, JobState, QueuePolicy
 from lagoonbeam.site.plan_memory import PlanMemory
 from lagoonbeam.site.records import (
@@ -111,7 +112,7 @@
             for task in tasks.values()
         ]
         if ends:
-            self._decisions.emit("worker.gone", runs=len(ends))
+            self._decisions.emit(Event.WORKER_GONE, runs=len(ends))
             await self.end_runs(ends)
 
     def _get_attempts(self, job: JobEntry) -> int:
@@ -124,7 +125,7 @@
         age_s = time.time() - job.request.accepted_at_s
         self._decisions.metrics.finish_s.observe(max(0.0, age_s))
         self._decisions.emit(
-            "job.ended",
+            Event.JOB_ENDED,
             job=job.request.job_id,
             state=job.state.value,
             age_s=round(age_s, 3),
--- a/lagoonbeam/site/interface.py
+++ b/lagoonbeam/site/interface.py
@@ -125,9 +125,7 @@
         except LagoonbeamError as error:
             response = self._refuse(request, error)
         except Exception as error:  # noqa: BLE001
-            self._decisions.emit(
-                "request.broken", target=request.target, cause=repr(error)
-            )
+            self._service.note_fault(request.target, error)
             response = Response(500)
         requests = self._decisions.metrics.requests
         requests.labels(request.method, str(response.status)).inc()
@@ -137,14 +135,12 @@
         self, request: Request, error: LagoonbeamError, job_id: str = ""
     ) -> Response:
         problem = describe_problem(error, job_id=job_id)
-        self._decisions.emit(
-            "request.refused",
-            method=request.method,
-            target=request.target,
-            job=job_id,
+        self._service.note_refusal(
+            request.method,
+            request.target,
             status=problem.status,
             cause=str(error),
-            version=self._service.configuration.version,
+            job_id=job_id,
         )
         headers = {"Content-Type": MEDIA_TYPE, **problem.headers}
         return Response(problem.status, problem.body, headers)
--- a/lagoonbeam/site/journal.py
+++ b/lagoonbeam/site/journal.py
@@ -15,6 +15,7 @@
 )
 from lagoonbeam.site.decisions import Decisions
 from lagoonbeam.site.dependency import DependencyWatch
+from lagoonbeam.site.events import Event
 from lagoonbeam.site.ports import JournalStore, Snapshot
 from lagoonbeam.site.records import (
     Record,
@@ -83,7 +84,9 @@
                     self.offset, wait_s=self._get_wait_s()
                 )
             except LogTruncatedError:
-                self._decisions.emit("journal.truncated", offset=self.offset)
+                self._decisions.emit(
+                    Event.JOURNAL_TRUNCATED, offset=self.offset
+                )
                 await self._restore()
                 continue
             except LagoonbeamError as error:
@@ -144,7 +147,9 @@
             try:
                 snapshot = await self._store.load_snapshot()
             except MalformedAnswerError as error:
-                self._decisions.emit("snapshot.malformed", cause=error.detail)
+                self._decisions.emit(
+                    Event.SNAPSHOT_MALFORMED, cause=error.detail
+                )
                 return
             except LagoonbeamError as error:
                 self._lose(error)
@@ -154,7 +159,7 @@
                 self.state = decode_state(snapshot.data)
                 self.offset = snapshot.offset
                 self.snapshot_offset = snapshot.offset
-                self._decisions.emit("snapshot.loaded", offset=self.offset)
+                self._decisions.emit(Event.SNAPSHOT_LOADED, offset=self.offset)
             elif self.offset:
                 await anyio.sleep(jitter(RETRY_S))
             return
@@ -169,7 +174,7 @@
         try:
             record = decode_record(data)
         except MalformedAnswerError as error:
-            self._decisions.emit("journal.malformed", cause=error.detail)
+            self._decisions.emit(Event.JOURNAL_MALFORMED, cause=error.detail)
             return
         self._note_term(record)
         self.state.apply(record)
--- a/lagoonbeam/site/node.py
+++ b/lagoonbeam/site/node.py
@@ -14,6 +14,7 @@
 from lagoonbeam.site.bounds import SchedulerBounds
 from lagoonbeam.site.decisions import Decisions
 from lagoonbeam.site.dependency import DependencyWatch
+from lagoonbeam.site.events import Event
 from lagoonbeam.site.journal import JournalFollower, jitter
 from lagoonbeam.site.policies import PolicyNames, make_policies
 from lagoonbeam.site.ports import Ports, Writer
@@ -94,7 +95,9 @@
 
     async def run(self) -> None:
         """Works until cancelled."""
-        self._decisions.emit("instance.start", incarnation=self._incarnation)
+        self._decisions.emit(
+            Event.INSTANCE_START, incarnation=self._incarnation
+        )
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self.follower.run)
             tasks.start_soon(self._appender.run)
@@ -107,7 +110,7 @@
     async def drain(self) -> None:
         """Hands the term over and takes no new callers."""
         self.service.is_draining = True
-        self._decisions.emit("instance.drain")
+        self._decisions.emit(Event.INSTANCE_DRAIN)
         if self._scheduler is not None:
             await self._scheduler.resign()
 
@@ -137,7 +140,9 @@
             try:
                 await self._appender.append([record], timeout_s=JOIN_TIMEOUT_S)
             except LagoonbeamError as error:
-                self._decisions.emit("instance.join_failed", cause=str(error))
+                self._decisions.emit(
+                    Event.INSTANCE_JOIN_FAILED, cause=str(error)
+                )
                 await anyio.sleep(jitter(RETRY_S))
             else:
                 return
@@ -156,7 +161,7 @@
         if newer is not None:
             self.service.configuration = newer
             self._decisions.emit(
-                "configuration.in_force",
+                Event.CONFIGURATION_IN_FORCE,
                 version=newer.version,
                 before=version,
                 queues=len(newer.routes),
@@ -191,11 +196,11 @@
                 incarnation=self._incarnation,
             )
             if claim is None:
-                self._decisions.emit("term.not_claimed")
+                self._decisions.emit(Event.TERM_NOT_CLAIMED)
                 continue
             writer, sequence = claim
             self._decisions.emit(
-                "term.claimed",
+                Event.TERM_CLAIMED,
                 term=writer.epoch,
                 offset=self.follower.offset,
                 age_s=round(self.follower.age_s, 3),
--- a/lagoonbeam/site/orders.py
+++ b/lagoonbeam/site/orders.py
@@ -9,6 +9,7 @@
 from lagoonbeam.errors import FencedError, LagoonbeamError, UnavailableError
 from lagoonbeam.site.decisions import Decisions
 from lagoonbeam.site.entries import TaskState
+from lagoonbeam.site.events import Event
 from lagoonbeam.site.lease import Lease
 from lagoonbeam.site.model import End
 from lagoonbeam.site.owner import Owner
@@ -119,7 +120,7 @@
             kind = outcome.partition(":")[0]
             self._decisions.metrics.starts.labels(kind).inc()
             self._decisions.emit(
-                "run.start",
+                Event.RUN_START,
                 task=placement.task_id,
                 run=placement.run,
                 worker=self._worker,
@@ -135,7 +136,11 @@
             return
         self._stops[key] = now_s + STOP_RETRY_S
         self._decisions.emit(
-            "run.stop", task=task_id, run=run, worker=self._worker, cause=cause
+            Event.RUN_STOP,
+            task=task_id,
+            run=run,
+            worker=self._worker,
+            cause=cause,
         )
         self.tasks.start_soon(self._stop, task_id, run)
 
@@ -146,7 +151,7 @@
             self._owner.lose_term(f"worker {self._worker} has a newer token")
         except LagoonbeamError as error:
             self._decisions.emit(
-                "run.stop_failed",
+                Event.RUN_STOP_FAILED,
                 task=task_id,
                 run=run,
                 worker=self._worker,
--- a/lagoonbeam/site/plan_memory.py
+++ b/lagoonbeam/site/plan_memory.py
@@ -9,6 +9,7 @@
 from lagoonbeam.site.decisions import Decisions
 from lagoonbeam.site.durations import Durations
 from lagoonbeam.site.entries import JobEntry, UnitState
+from lagoonbeam.site.events import Event
 from lagoonbeam.site.placement import Assignment
 from lagoonbeam.site.policies import Policies, make_policies
 from lagoonbeam.site.state import SiteState
@@ -105,7 +106,7 @@
         self._waiting[unit.key] = unit.next_run
         step = unit.spec
         self.decisions.emit(
-            "unit.waits",
+            Event.UNIT_WAITS,
             task=unit.key,
             run=unit.next_run,
             tasks=len(unit.tasks),
--- a/lagoonbeam/site/planner.py
+++ b/lagoonbeam/site/planner.py
@@ -10,6 +10,7 @@
 
 from lagoonbeam.site.durations import Earning
 from lagoonbeam.site.entries import JobEntry, UnitState
+from lagoonbeam.site.events import Event
 from lagoonbeam.site.eviction import find_eviction
 from lagoonbeam.site.guarantees import find_covered
 from lagoonbeam.site.lending import Lending
@@ -367,7 +368,7 @@
             self._plan.stops.append((victim, unit))
             self._lending.take_back(victim)
         self._memory.decisions.emit(
-            "unit.evicts",
+            Event.UNIT_EVICTS,
             task=unit.key,
             victims=[victim.key for victim in eviction.victims],
             lost_core_s=round(eviction.cost, 1),
--- a/lagoonbeam/site/pools.py
+++ b/lagoonbeam/site/pools.py
@@ -10,6 +10,7 @@
 from lagoonbeam.errors import FencedError, LagoonbeamError
 from lagoonbeam.site.decisions import Decisions
 from lagoonbeam.site.dependency import DependencyWatch
+from lagoonbeam.site.events import Event
 from lagoonbeam.site.machines import (
     DutyHolder,
     Machine,
@@ -224,7 +225,7 @@
             self._keep(machine.machine_id)
             await self._journal([MachineMoved(machine.machine_id, pool, home)])
         self._decisions.emit(
-            "machine.move",
+            Event.MACHINE_MOVE,
             machine=machine.machine_id,
             pool=pool,
             before=machine.pool,
--- a/lagoonbeam/site/scheduler.py
+++ b/lagoonbeam/site/scheduler.py
@@ -16,6 +16,7 @@
 from lagoonbeam.site.decisions import Decisions
 from lagoonbeam.site.endings import Endings
 from lagoonbeam.site.entries import JobEntry, TaskState, UnitState
+from lagoonbeam.site.events import Event
 from lagoonbeam.site.fleet import Fleet
 from lagoonbeam.site.journal import JournalFollower
 from lagoonbeam.site.machines import DutyHolder
@@ -191,13 +192,13 @@
             record = TermResigned(self.token)
             await self._appender.append([record], timeout_s=1.0)
         except LagoonbeamError as error:
-            self._decisions.emit("term.resign_failed", cause=str(error))
+            self._decisions.emit(Event.TERM_RESIGN_FAILED, cause=str(error))
         self.lose_term("resigned")
 
     def lose_term(self, cause: str) -> None:
         """Stops scheduling."""
         if not self._scope.cancel_called:
-            self._decisions.emit("term.lost", term=self.token, cause=cause)
+            self._decisions.emit(Event.TERM_LOST, term=self.token, cause=cause)
         self._scope.cancel()
 
     async def end_runs(self, ends: Sequence[RunEnd]) -> bool:
@@ -233,7 +234,7 @@
             self._memory.avoid(task.unit, worker)
             if self._fleet.health.is_blamed(worker):
                 self._decisions.emit(
-                    "worker.quarantined", worker=worker, job=job_id
+                    Event.WORKER_QUARANTINED, worker=worker, job=job_id
                 )
 
     def note_stall(self, worker: str, task: TaskState) -> None:
@@ -258,7 +259,7 @@
             )
         except LagoonbeamError as error:
             if not isinstance(error, LogUncertainError):
-                self._decisions.emit("journal.refused", cause=str(error))
+                self._decisions.emit(Event.JOURNAL_REFUSED, cause=str(error))
             return False
         return await self._follower.wait_for(end, APPEND_TIMEOUT_S)
 
@@ -275,7 +276,7 @@
         try:
             await self._follower.save_snapshot()
         except LagoonbeamError as error:
-            self._decisions.emit("snapshot.failed", cause=str(error))
+            self._decisions.emit(Event.SNAPSHOT_FAILED, cause=str(error))
 
     async def _follow_advice(self) -> None:
         while True:
--- a/lagoonbeam/site/service.py
+++ b/lagoonbeam/site/service.py
@@ -16,6 +16,7 @@
 from lagoonbeam.site.appender import JournalAppender
 from lagoonbeam.site.decisions import Decisions
 from lagoonbeam.site.entries import JobEntry
+from lagoonbeam.site.events import Event
 from lagoonbeam.site.journal import JournalFollower
 from lagoonbeam.site.model import (
     Configuration,
@@ -111,7 +112,7 @@
             LogUncertainError: If it may have been stored.
         """
         if request.job_id in self._follower.state.jobs:
-            self._decisions.emit("job.repeated", job=request.job_id)
+            self._decisions.emit(Event.JOB_REPEATED, job=request.job_id)
             return
         self._check_store()
         started_s = time.monotonic()
@@ -119,7 +120,7 @@
         taken_s = time.monotonic() - started_s
         self._decisions.metrics.acceptance_s.observe(taken_s)
         self._decisions.emit(
-            "job.accepted",
+            Event.JOB_ACCEPTED,
             job=request.job_id,
             queue=request.queue.name,
             organisation=request.organisation,
@@ -144,7 +145,7 @@
         await self.get_job(job_id)
         self._check_store()
         await self._appender.append([JobCancelled(job_id)], timeout_s=timeout_s)
-        self._decisions.emit("job.cancelled", job=job_id)
+        self._decisions.emit(Event.JOB_CANCELLED, job=job_id)
 
     async def get_state(self, job_id: str) -> JobState:
         """Returns where a job stands.
@@ -180,6 +181,40 @@
             if job.request.organisation == organisation
         )
 
+    def note_refusal(
+        self,
+        method: str,
+        target: str,
+        *,
+        status: int,
+        cause: str,
+        job_id: str = "",
+    ) -> None:
+        """Writes why a call was not served.
+
+        Args:
+            method: HTTP method.
+            target: Path and query.
+            status: What the caller is told.
+            cause: Why.
+            job_id: The job concerned, if known.
+        """
+        self._decisions.emit(
+            Event.REQUEST_REFUSED,
+            method=method,
+            target=target,
+            job=job_id,
+            status=status,
+            cause=cause,
+            version=self.configuration.version,
+        )
+
+    def note_fault(self, target: str, error: Exception) -> None:
+        """Writes that a call met a fault of the program."""
+        self._decisions.emit(
+            Event.REQUEST_BROKEN, target=target, cause=repr(error)
+        )
+
     async def wait_change(self) -> None:
         """Waits until the copy may have changed."""
         await self._follower.wait_change()
--- a/lagoonbeam/site/session.py
+++ b/lagoonbeam/site/session.py
@@ -13,7 +13,9 @@
     ServerUnreachableError,
 )
 from lagoonbeam.site.decisions import Decisions
+from lagoonbeam.site.dependency import DependencyWatch
 from lagoonbeam.site.entries import TaskState
+from lagoonbeam.site.events import Event
 from lagoonbeam.site.lease import Lease
 from lagoonbeam.site.model import (
     End,
@@ -77,6 +79,7 @@
         self._client = client
         self._owner = owner
         self._decisions = decisions
+        self._watch = DependencyWatch(f"worker {report.worker}", decisions)
         self._lease = Lease(lease_s, owner.foreign_lease_s)
         self.orders = RunOrders(
             report.worker, client, self._lease, owner, decisions
@@ -200,9 +203,7 @@
             await self._miss(error)
             return
         if self.failed_looks >= UNREACHABLE_LOOKS:
-            self._decisions.emit(
-                "dependency", name=f"worker {self.worker}", state="regained"
-            )
+            self._watch.regain()
             self._owner.note_usable(self.worker)
         self.failed_looks = 0
         self._lease.read_clock(view.clock_ms)
@@ -215,12 +216,7 @@
     async def _miss(self, error: LagoonbeamError) -> None:
         self.failed_looks += 1
         if self.failed_looks == UNREACHABLE_LOOKS:
-            self._decisions.emit(
-                "dependency",
-                name=f"worker {self.worker}",
-                state="lost",
-                cause=str(error),
-            )
+            self._watch.lose(error)
         if self._lease.has_lapsed:
             await self._end_lapsed()
         await anyio.sleep(LOOK_RETRY_S)
@@ -235,7 +231,7 @@
         ]
         if ends:
             self._decisions.emit(
-                "worker.lapsed", worker=self.worker, runs=len(ends)
+                Event.WORKER_LAPSED, worker=self.worker, runs=len(ends)
             )
             await self._owner.end_runs(ends)
         self.running.clear()
@@ -244,7 +240,7 @@
         """Ends the runs of an incarnation that exists no longer."""
         listed = {task.task_id for task in view.running}
         self._decisions.emit(
-            "worker.restarted",
+            Event.WORKER_RESTARTED,
             worker=self.worker,
             incarnation=view.incarnation,
             known=self.report.incarnation,
@@ -326,7 +322,7 @@
             except LagoonbeamError as error:
                 outcome = str(error)
             self._decisions.emit(
-                "run.pace",
+                Event.RUN_PACE,
                 task=run.task_id,
                 run=run.run,
                 worker=self.worker,
@@ -369,7 +365,7 @@
                 run_s = None if started_s is None else now_s - started_s
                 self._owner.note_end(self.worker, ended, end.end, run_s)
             self._decisions.emit(
-                "run.ended",
+                Event.RUN_ENDED,
                 task=end.task_id,
                 run=end.run,
                 worker=self.worker,
--- a/lagoonbeam/site/store_path.py
+++ b/lagoonbeam/site/store_path.py
@@ -12,6 +12,7 @@
     StoreBusyError,
 )
 from lagoonbeam.site.decisions import Decisions
+from lagoonbeam.site.events import Event
 from lagoonbeam.site.relay import REFUSALS, RelayedCall, Relays
 
 CALL_TIMEOUT_S = 1.2
@@ -138,4 +139,6 @@
     def _set_direct(self, is_direct: bool, cause: str) -> None:
         if is_direct != self._is_direct:
             self._is_direct = is_direct
-            self._decisions.emit("store.route", direct=is_direct, cause=cause)
+            self._decisions.emit(
+                Event.STORE_ROUTE, direct=is_direct, cause=cause
+            )
--- a/lagoonbeam/site/upkeep.py
+++ b/lagoonbeam/site/upkeep.py
@@ -11,6 +11,7 @@
 from lagoonbeam.errors import FencedError, LagoonbeamError
 from lagoonbeam.site.decisions import Decisions
 from lagoonbeam.site.dependency import DependencyWatch
+from lagoonbeam.site.events import Event
 from lagoonbeam.site.machines import (
     DutyHolder,
     Machine,
@@ -112,7 +113,7 @@
             if not await self._journal([record]):
                 return
             self._decisions.emit(
-                "wave.begun",
+                Event.WAVE_BEGUN,
                 wave=wave.number,
                 machines=len(wave.machines),
                 at_once=wave.at_once,
@@ -197,7 +198,7 @@
             record = MachineServiced(wave.number, machine.machine_id)
             await self._journal([record])
         self._decisions.emit(
-            "machine.upkeep",
+            Event.MACHINE_UPKEEP,
             machine=machine.machine_id,
             worker=machine.worker,
             wave=wave.number,
@@ -209,7 +210,7 @@
     async def _complete(self, wave: Wave) -> None:
         await self._board.report(wave.number, WaveState.COMPLETED)
         if await self._journal([WaveCompleted(wave.number)]):
-            self._decisions.emit("wave.completed", wave=wave.number)
+            self._decisions.emit(Event.WAVE_COMPLETED, wave=wave.number)
 
     def _get_patience_s(self, wave: Wave, left: int) -> float:
         """Returns the seconds in which a worker's runs may end."""
--- a/tests/site/test_decisions.py
+++ b/tests/site/test_decisions.py
@@ -1,13 +1,17 @@
 from __future__ import annotations
 
+import ast
 import json
 import os
 import re
+from collections import Counter
+from collections.abc import Iterator
 from pathlib import Path
 
 import pytest
 
 from lagoonbeam.site.decisions import LINES_PER_S, Decisions
+from lagoonbeam.site.events import Event
 
 ROOT = Path(__file__).resolve().parent.parent.parent
 
@@ -19,7 +23,7 @@
 def test_line_keeps_fields_whatever_their_names() -> None:
     reader, writer = os.pipe()
     decisions = Decisions("n0", "z1", descriptor=writer)
-    decisions.emit("dependency", name="store", state="lost", message="m")
+    decisions.emit(Event.DEPENDENCY, name="store", state="lost", message="m")
     (line,) = read_lines(reader)
     assert line["event"] == "dependency"
     assert line["name"] == "store"
@@ -33,8 +37,8 @@
     reader, writer = os.pipe()
     decisions = Decisions("n0", "z1", descriptor=writer)
     for number in range(LINES_PER_S * 2):
-        decisions.emit("run.start", number=number)
-    decisions.emit("job.ended", job="a")
+        decisions.emit(Event.RUN_START, number=number)
+    decisions.emit(Event.JOB_ENDED, job="a")
     lines = read_lines(reader)
     assert len(lines) <= LINES_PER_S + 1
     assert lines[-1]["event"] == "job.ended"
@@ -48,14 +52,14 @@
     reader, writer = os.pipe()
     decisions = Decisions("n0", "z1", descriptor=writer)
     for number in range(300):
-        decisions.emit("job.ended", job=str(number), text="x" * 1000)
+        decisions.emit(Event.JOB_ENDED, job=str(number), text="x" * 1000)
     dropped = re.search(
         r"lines_dropped_total (\d+)", decisions.metrics.render().decode()
     )
     assert dropped is not None
     assert int(dropped[1]) > 0
     os.read(reader, 1 << 20)
-    decisions.emit("job.ended", job="after")
+    decisions.emit(Event.JOB_ENDED, job="after")
     last = os.read(reader, 1 << 20).splitlines()[-1]
     assert json.loads(last)["job"] == "after"
 
@@ -65,3 +69,39 @@
     named = set(re.findall(r"`(lagoonbeam_\w+)`", page))
     families = Decisions("n0", "z1", descriptor=2).metrics.registry.collect()
     assert named == {family.name for family in families}
+
+
+def find_emits(path: Path) -> Iterator[str]:
+    """Yields the event of each call that writes a line."""
+    for node in ast.walk(ast.parse(path.read_text())):
+        if not isinstance(node, ast.Call) or not node.args:
+            continue
+        function, event = node.func, node.args[0]
+        if (
+            isinstance(function, ast.Attribute)
+            and function.attr in ("emit", "_note")
+            and isinstance(event, ast.Attribute)
+            and isinstance(event.value, ast.Name)
+            and event.value.id == "Event"
+        ):
+            yield event.attr
+
+
+def test_each_event_is_written_at_exactly_one_place() -> None:
+    sources = [
+        *(ROOT / "lagoonbeam" / "site").glob("*.py"),
+        *(ROOT / "platform" / "lagoonbeam_platform").glob("*.py"),
+    ]
+    places = Counter(name for path in sources for name in find_emits(path))
+    by_decisions = {Event.LOG_LEFT_OUT.name}
+    assert places == Counter(
+        event.name for event in Event if event.name not in by_decisions
+    )
+
+
+def test_page_names_all_events() -> None:
+    page = (ROOT / "docs" / "OPERATIONS.md").read_text()
+    table = page[page.index("| event | says |") :].partition("\n\n")[0]
+    cells = [line.split("|")[1] for line in table.splitlines()]
+    named = set(re.findall(r"`([a-z_.]+)`", " ".join(cells)))
+    assert named == {event.value for event in Event}
