--- a/harness/mutations.py
+++ b/harness/mutations.py
@@ -14,7 +14,8 @@
 
 ROOT = Path(__file__).parent.parent
 COPIED = ["lagoonbeam", "standins", "harness", "tests", "properties", "docs"]
-COPIED += ["benchmarks", "pyproject.toml", "CONTRIBUTING.md"]
+COPIED += ["benchmarks", "platform", "deploy"]
+COPIED += ["pyproject.toml", "CONTRIBUTING.md"]
 TIMEOUT_S = 180.0
 
 
@@ -141,6 +142,94 @@
         "                self._move_in(pool, waiter, job_id)",
         "properties/test_liveness.py",
     ),
+    Mutation(
+        "site: a gang is placed whole or not at all",
+        "lagoonbeam/site/placement.py",
+        "        if not waiting:\n            return assignment\n"
+        "    return None",
+        "        if not waiting:\n            return assignment\n"
+        "    return assignment",
+        "tests/site/test_planner.py::test_gang_is_placed_whole_or_not_at_all",
+    ),
+    Mutation(
+        "site: the first record of an identifier counts",
+        "lagoonbeam/site/state.py",
+        "    if request.job_id in state.jobs:",
+        "    if False:",
+        "tests/site/test_state.py::test_first_record_of_an_identifier_counts",
+    ),
+    Mutation(
+        "site: the end of another run changes nothing",
+        "lagoonbeam/site/state.py",
+        "task.placement is None or task.run != end.run:",
+        "task.placement is None:",
+        "tests/site/test_state.py::test_end_of_another_run_changes_nothing",
+    ),
+    Mutation(
+        "site: did_not_run is true",
+        "lagoonbeam/site/state.py",
+        "    if job is not None and not job.has_started:",
+        "    if job is not None:",
+        "tests/site/test_state.py"
+        "::test_job_is_dropped_only_before_its_first_start",
+    ),
+    Mutation(
+        "site: work that may have run is not repeated",
+        "lagoonbeam/site/state.py",
+        "        unit.job.request.runs_once\n",
+        "        False\n",
+        "tests/site/test_state.py"
+        "::test_job_that_runs_once_is_unknown_after_a_cut_run",
+    ),
+    Mutation(
+        "site: what must not be repeated is not stopped",
+        "lagoonbeam/site/usage.py",
+        "        if unit.job.request.runs_once:",
+        "        if False:",
+        "tests/site/test_planner.py"
+        "::test_work_that_must_not_run_again_is_not_stopped_for_others",
+    ),
+    Mutation(
+        "site: guarantees stay reclaimable",
+        "lagoonbeam/site/lending.py",
+        "        return held <= whole - self._guaranteed",
+        "        return True",
+        "tests/site/test_planner.py"
+        "::test_work_that_must_not_be_stopped_leaves_the_guarantees_free",
+    ),
+    Mutation(
+        "site: never too many machines down for a wave",
+        "lagoonbeam/site/upkeep.py",
+        "        for name in free[: max(0, wave.at_once - len(busy))]:",
+        "        for name in free:",
+        "tests/site/test_upkeep.py"
+        "::test_empty_machines_are_serviced_within_the_cap",
+    ),
+    Mutation(
+        "site: a machine is emptied before its upkeep",
+        "lagoonbeam/site/upkeep.py",
+        "        if not is_in_doubt and not self._vacating.is_empty("
+        "machine.worker):",
+        "        if False:",
+        "tests/site/test_upkeep.py"
+        "::test_machine_with_work_is_emptied_before_its_upkeep",
+    ),
+    Mutation(
+        "site: a key names one job",
+        "lagoonbeam/site/interface.py",
+        "    if stored != job:",
+        "    if False:",
+        "tests/site/test_interface.py"
+        "::test_same_key_is_the_same_job_and_another_body_is_refused",
+    ),
+    Mutation(
+        "site: jobs of other organisations are hidden",
+        "lagoonbeam/site/interface.py",
+        "        if entry.request.organisation != organisation.name:",
+        "        if False:",
+        "tests/site/test_interface.py"
+        "::test_jobs_of_other_organisations_are_hidden",
+    ),
 ]
 
 
@@ -171,9 +260,12 @@
 
 
 def main() -> int:
-    """Runs all mutations; returns the exit status."""
+    """Runs the mutations whose promise holds a word; all without one."""
+    word = sys.argv[1] if len(sys.argv) > 1 else ""
     survived = 0
     for mutation in MUTATIONS:
+        if word not in mutation.promise:
+            continue
         result = run_mutation(mutation)
         survived += result != "red"
         print(f"{result:6} {mutation.promise}: {mutation.proof}", flush=True)
