Jobs that ended long ago keep no tasks and no payload

Ruled out: dropping them at their end (ends that other workers list later teach their health and the run times; they need the tasks). Change: the last 100 ended jobs stay whole; older ones keep state, progress and a hash of what was asked (for reused keys). Placements in flight are forgotten by unit, also if their job is gone.

--- a/harness/mutations.py
+++ b/harness/mutations.py
@@ -217,7 +217,7 @@
     Mutation(
         "site: a key names one job",
         "lagoonbeam/site/interface.py",
-        "    if stored != job:",
+        "    if entry.get_fingerprint() != make_fingerprint(job):",
         "    if False:",
         "tests/site/test_interface.py"
         "::test_same_key_is_the_same_job_and_another_body_is_refused",
--- a/lagoonbeam/site/endings.py
+++ b/lagoonbeam/site/endings.py
@@ -123,15 +123,14 @@
 
     def _note_ended(self, job: JobEntry, **inputs: object) -> None:
         age_s = time.time() - job.request.accepted_at_s
+        progress = job.get_progress()
         self._decisions.metrics.finish_s.observe(max(0.0, age_s))
         self._decisions.emit(
             Event.JOB_ENDED,
             job=job.request.job_id,
             state=job.state.value,
             age_s=round(age_s, 3),
-            tasks=sum(len(unit.tasks) for unit in job.all_units()),
-            starts=sum(
-                task.run for unit in job.all_units() for task in unit.tasks
-            ),
+            tasks=sum(step.tasks for step in progress),
+            starts=sum(step.starts for step in progress),
             **inputs,
         )
--- a/lagoonbeam/site/entries.py
+++ b/lagoonbeam/site/entries.py
@@ -2,10 +2,19 @@
 
 from __future__ import annotations
 
+import hashlib
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 
-from lagoonbeam.site.model import JobRequest, JobState, Step, make_task_id
+import msgspec
+
+from lagoonbeam.site.model import (
+    JobRequest,
+    JobState,
+    QueuePolicy,
+    Step,
+    make_task_id,
+)
 from lagoonbeam.site.records import Placement
 
 
@@ -76,18 +85,56 @@
         return max(task.run for task in self.tasks) + 1
 
 
+class StepProgress(msgspec.Struct, frozen=True, array_like=True):
+    """How far a step of one occurrence is.
+
+    Attributes:
+        occurrence: Number of the occurrence.
+        step: Number of the step.
+        tasks: Its tasks.
+        running: Tasks of which a run may exist.
+        done: Tasks that are done.
+        failures: Runs that ended as failed.
+        starts: Starts of its tasks.
+    """
+
+    occurrence: int
+    step: int
+    tasks: int
+    running: int
+    done: int
+    failures: int
+    starts: int
+
+
+class Retired(msgspec.Struct, frozen=True, array_like=True):
+    """What is kept of a job that ended long ago.
+
+    Attributes:
+        progress: How far its steps were.
+        fingerprint: Hash of what its caller asked for.
+    """
+
+    progress: tuple[StepProgress, ...]
+    fingerprint: str
+
+
 @dataclass(slots=True)
 class JobEntry:
     """A job and its tasks.
 
+    A job that ended long ago is retired: it keeps only what callers may ask
+    for.
+
     Attributes:
-        request: What was accepted.
+        request: What was accepted; without payload and steps once retired.
         units: All units by (occurrence, step).
         state: Where the job stands.
         has_started: Whether one of its tasks was ever started.
         open_units: Units that are not done.
         most_failed: The unit with the most failures, if any failed; those of
             long-running steps do not count.
+        retired: What is kept in place of the units, once it is retired.
     """
 
     request: JobRequest
@@ -96,6 +143,7 @@
     has_started: bool = False
     open_units: int = 0
     most_failed: UnitState | None = None
+    retired: Retired | None = None
 
     @property
     def is_open(self) -> bool:
@@ -107,6 +155,35 @@
         for units in self.units.values():
             yield from units
 
+    def get_progress(self) -> tuple[StepProgress, ...]:
+        """Returns how far each step is."""
+        if self.retired is not None:
+            return self.retired.progress
+        return tuple(
+            _count_progress(occurrence, step, units)
+            for (occurrence, step), units in self.units.items()
+        )
+
+    def get_fingerprint(self) -> str:
+        """Returns what tells whether another request is the same."""
+        if self.retired is not None:
+            return self.retired.fingerprint
+        return make_fingerprint(self.request)
+
+    def has_runs(self) -> bool:
+        """Whether a run of one of its tasks may exist."""
+        return any(unit.has_runs for unit in self.all_units())
+
+    def retire(self) -> None:
+        """Drops what only an open job needs."""
+        if self.retired is None:
+            self.retired = Retired(self.get_progress(), self.get_fingerprint())
+            self.request = msgspec.structs.replace(
+                self.request, payload="", steps=()
+            )
+            self.units = {}
+            self.most_failed = None
+
     def note_failures(self, unit: UnitState) -> None:
         """Takes a unit's failures into account."""
         most = self.most_failed
@@ -127,6 +204,29 @@
         return all(unit.is_done for unit in self.units[occurrence, step])
 
 
+def make_fingerprint(request: JobRequest) -> str:
+    """Returns a hash of what a caller asked for."""
+    asked = msgspec.structs.replace(
+        request, accepted_at_s=0.0, queue=QueuePolicy(request.queue.name, "")
+    )
+    return hashlib.sha256(msgspec.msgpack.encode(asked)).hexdigest()[:16]
+
+
+def _count_progress(
+    occurrence: int, step: int, units: list[UnitState]
+) -> StepProgress:
+    tasks = [task for unit in units for task in unit.tasks]
+    return StepProgress(
+        occurrence,
+        step,
+        len(tasks),
+        sum(task.placement is not None for task in tasks),
+        sum(task.is_done for task in tasks),
+        sum(unit.failures for unit in units),
+        sum(task.run for task in tasks),
+    )
+
+
 def build_entry(request: JobRequest) -> JobEntry:
     """Returns a job as it is accepted, with all its tasks."""
     entry = JobEntry(request)
--- a/lagoonbeam/site/interface.py
+++ b/lagoonbeam/site/interface.py
@@ -8,7 +8,6 @@
 
 import itertools
 import time
-from collections import Counter
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from urllib.parse import parse_qs
@@ -29,7 +28,7 @@
     UnknownKindError,
 )
 from lagoonbeam.site.decisions import Decisions
-from lagoonbeam.site.entries import JobEntry
+from lagoonbeam.site.entries import JobEntry, make_fingerprint
 from lagoonbeam.site.model import JobRequest, JobState, Organisation
 from lagoonbeam.site.requests import decode_submission, make_job
 from lagoonbeam.site.service import JobService
@@ -57,27 +56,6 @@
 }
 
 
-@dataclass(frozen=True, slots=True)
-class StepReport:
-    """How far a step of one occurrence is.
-
-    Attributes:
-        occurrence: Number of the occurrence.
-        step: Number of the step.
-        tasks: Its tasks.
-        running: Tasks of which a run may exist.
-        done: Tasks that are done.
-        failures: Runs that ended as failed.
-    """
-
-    occurrence: int
-    step: int
-    tasks: int
-    running: int
-    done: int
-    failures: int
-
-
 @dataclass(frozen=True, slots=True)
 class JobReport:
     """What is known of a job.
@@ -90,7 +68,7 @@
         outcome: Set once it is finished, empty before.
         detail: Explanation.
         accepted_at_s: Wall clock time of acceptance.
-        steps: How far its steps are.
+        steps: How far its steps are; see `StepProgress`.
     """
 
     job_id: str
@@ -100,7 +78,7 @@
     outcome: str
     detail: str
     accepted_at_s: float
-    steps: list[StepReport] = field(default_factory=list)
+    steps: list[dict[str, int]] = field(default_factory=list)
 
 
 Handler = Callable[[Request, str], Awaitable[Response]]
@@ -258,43 +236,29 @@
 def make_report(entry: JobEntry) -> JobReport:
     """Returns what callers are told of a job."""
     state = entry.state
-    steps = []
-    for (occurrence, number), units in entry.units.items():
-        tasks = [task for unit in units for task in unit.tasks]
-        steps.append(
-            StepReport(
-                occurrence,
-                number,
-                len(tasks),
-                sum(task.placement is not None for task in tasks),
-                sum(task.is_done for task in tasks),
-                sum(unit.failures for unit in units),
-            )
-        )
+    steps = [msgspec.structs.asdict(each) for each in entry.get_progress()]
     return JobReport(
         entry.request.job_id,
         entry.request.organisation,
         entry.request.queue.name,
         _PHASES.get(state, Phase.FINISHED).value,
         _OUTCOMES[state].value if state in _OUTCOMES else "",
-        _describe(entry, steps),
+        _describe(entry),
         entry.request.accepted_at_s,
         steps,
     )
 
 
-def _describe(entry: JobEntry, steps: list[StepReport]) -> str:
+def _describe(entry: JobEntry) -> str:
     if entry.state is JobState.UNKNOWN:
         return "a run of it ended without an answer; it is not repeated"
     if entry.state is JobState.DID_NOT_RUN:
         return f"not started within {entry.request.start_within_s:g} s"
-    counts: Counter[str] = Counter()
-    for step in steps:
-        counts.update(done=step.done, running=step.running, tasks=step.tasks)
-    return (
-        f"{counts['done']} of {counts['tasks']} tasks done,"
-        f" {counts['running']} running"
-    )
+    progress = entry.get_progress()
+    done = sum(step.done for step in progress)
+    running = sum(step.running for step in progress)
+    tasks = sum(step.tasks for step in progress)
+    return f"{done} of {tasks} tasks done, {running} running"
 
 
 def _check_same(entry: JobEntry, job: JobRequest) -> None:
@@ -303,10 +267,7 @@
     Raises:
         KeyReusedError: If it was.
     """
-    stored = msgspec.structs.replace(
-        entry.request, accepted_at_s=job.accepted_at_s, queue=job.queue
-    )
-    if stored != job:
+    if entry.get_fingerprint() != make_fingerprint(job):
         raise KeyReusedError(
             f"the key was used for another job, {job.job_id}; expected a new"
             " key for a new job"
--- a/lagoonbeam/site/scheduler.py
+++ b/lagoonbeam/site/scheduler.py
@@ -337,16 +337,23 @@
                     )
                 )
         if placements and self._tasks is not None:
-            self._tasks.start_soon(self._launch, placements)
+            keys = [unit.key for unit, _ in plan.starts]
+            self._tasks.start_soon(self._launch, placements, keys)
         if plan.is_cut_short:
             self._wake.set()
 
-    async def _launch(self, placements: list[Placement]) -> None:
+    async def _launch(
+        self, placements: list[Placement], keys: list[str]
+    ) -> None:
+        """Journals placements, then orders the starts.
+
+        Args:
+            placements: The runs.
+            keys: Their units.
+        """
         stored = await self._journal(split_placements(placements))
-        for placement in placements:
-            task = self.state.tasks.get(placement.task_id)
-            if task is not None:
-                self._memory.launching.pop(task.unit.key, None)
+        for key in keys:
+            self._memory.launching.pop(key, None)
         for placement in placements:
             task = self.state.tasks.get(placement.task_id)
             session = self._fleet.sessions.get(placement.worker)
--- a/lagoonbeam/site/snapshot.py
+++ b/lagoonbeam/site/snapshot.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from lagoonbeam.errors import MalformedAnswerError
-from lagoonbeam.site.entries import JobEntry, UnitState
+from lagoonbeam.site.entries import JobEntry, Retired, UnitState
 from lagoonbeam.site.model import JobRequest, JobState
 from lagoonbeam.site.records import (
     InstanceJoined,
@@ -51,6 +51,7 @@
     state: JobState
     has_started: bool
     units: tuple[_Unit, ...]
+    retired: Retired | None = None
 
 
 class _Wave(msgspec.Struct, array_like=True):
@@ -127,7 +128,7 @@
         for position, unit in enumerate(siblings)
         if unit.is_done or any(task.run for task in unit.tasks)
     )
-    return _Job(job.request, job.state, job.has_started, units)
+    return _Job(job.request, job.state, job.has_started, units, job.retired)
 
 
 def _encode_unit(unit: UnitState, position: int) -> _Unit:
@@ -146,6 +147,12 @@
 
 
 def _decode_job(state: SiteState, stored: _Job) -> None:
+    if stored.retired is not None:
+        job = JobEntry(stored.request, state=stored.state)
+        job.has_started = stored.has_started
+        job.retired = stored.retired
+        state.add_retired(job)
+        return
     state.apply(JobAccepted(stored.request))
     job = state.jobs[stored.request.job_id]
     job.has_started = stored.has_started
--- a/lagoonbeam/site/state.py
+++ b/lagoonbeam/site/state.py
@@ -36,6 +36,8 @@
 
 ENDED_JOBS_KEPT = 4_000
 """Ended jobs whose state is still told; the oldest are forgotten first."""
+WHOLE_JOBS_KEPT = 100
+"""Ended jobs whose tasks are still known, for ends that come later."""
 
 
 @dataclass(slots=True)
@@ -101,6 +103,7 @@
         self._open: dict[str, JobEntry] = {}
         self._waiting: dict[str, UnitState] = {}
         self._ended: dict[str, None] = {}
+        self._whole: dict[str, None] = {}
 
     @property
     def is_vacant(self) -> bool:
@@ -162,6 +165,9 @@
         for unit in job.all_units():
             self._waiting.pop(unit.key, None)
         self._ended[job.request.job_id] = None
+        self._whole[job.request.job_id] = None
+        if len(self._whole) > WHOLE_JOBS_KEPT:
+            self._retire(next(iter(self._whole)))
         while len(self._ended) > ENDED_JOBS_KEPT:
             self._forget(next(iter(self._ended)))
 
@@ -179,15 +185,31 @@
         self.placed[placement.worker][task.task_id] = task
         self.changes[placement.worker] += 1
 
+    def add_retired(self, job: JobEntry) -> None:
+        """Notes a job that ended long ago."""
+        self.jobs[job.request.job_id] = job
+        self._ended[job.request.job_id] = None
+
+    def _retire(self, job_id: str) -> None:
+        """Drops the tasks of an ended job, or looks at it again later."""
+        del self._whole[job_id]
+        job = self.jobs[job_id]
+        if job.has_runs():
+            self._whole[job_id] = None
+            return
+        self._drop_tasks(job)
+        job.retire()
+
     def _forget(self, job_id: str) -> None:
         del self._ended[job_id]
-        job = self.jobs.pop(job_id, None)
-        if job is None:
-            return
+        self._whole.pop(job_id, None)
+        self._drop_tasks(self.jobs.pop(job_id))
+
+    def _drop_tasks(self, job: JobEntry) -> None:
         for unit in job.all_units():
             for task in unit.tasks:
                 self.clear_placement(task)
-                self.tasks.pop(task.task_id, None)
+                del self.tasks[task.task_id]
 
 
 @functools.singledispatch
--- a/tests/site/builders.py
+++ b/tests/site/builders.py
@@ -24,11 +24,15 @@
 
 def make_job(job_id: str, *steps: Step, **fields: Any) -> JobRequest:
     priority = fields.pop("priority", 1)
-    values = {"accepted_at_s": 100.0, "organisation": "armor", **fields}
+    values = {
+        "accepted_at_s": 100.0,
+        "organisation": "armor",
+        "payload": "{}",
+        **fields,
+    }
     return JobRequest(
         job_id=job_id,
         queue=make_policy(priority),
-        payload="{}",
         steps=steps or (Step(accelerators=1),),
         **values,
     )
--- a/tests/site/test_state.py
+++ b/tests/site/test_state.py
@@ -5,6 +5,7 @@
 from hypothesis import strategies as st
 
 from lagoonbeam.errors import MalformedAnswerError
+from lagoonbeam.site.entries import make_fingerprint
 from lagoonbeam.site.model import End, JobState, Step
 from lagoonbeam.site.records import (
     InstanceJoined,
@@ -22,7 +23,7 @@
     split_placements,
 )
 from lagoonbeam.site.snapshot import decode_state, encode_state
-from lagoonbeam.site.state import SiteState
+from lagoonbeam.site.state import WHOLE_JOBS_KEPT, SiteState
 from tests.site.builders import accept, make_job, place
 
 
@@ -219,3 +220,40 @@
     (again,) = restored.jobs["a"].all_units()
     assert again.failures == 1
     assert restored.jobs["a"].most_failed is again
+
+
+def finish(state: SiteState, job_id: str) -> None:
+    (unit,) = accept(state, make_job(job_id, payload="x" * 500))
+    place(state, unit, "w0")
+    end(state, unit.key, 1, End.DONE)
+
+
+def test_jobs_that_ended_long_ago_keep_no_tasks() -> None:
+    state = SiteState()
+    (held,) = accept(state, make_job("held"))
+    place(state, held, "w1")
+    state.apply(JobCancelled("held"))
+    for number in range(2 * WHOLE_JOBS_KEPT):
+        finish(state, f"j{number}")
+    assert len(state.tasks) <= WHOLE_JOBS_KEPT + 1
+    assert "held.0.0.0" in state.tasks
+    old = state.jobs["j0"]
+    assert old.state is JobState.COMPLETED
+    assert [step.done for step in old.get_progress()] == [1]
+    same = make_job("j0", payload="x" * 500, accepted_at_s=7.0)
+    assert old.get_fingerprint() == make_fingerprint(same)
+    other = make_job("j0", payload="y")
+    assert old.get_fingerprint() != make_fingerprint(other)
+
+
+def test_snapshot_of_ended_jobs_stays_small() -> None:
+    state = SiteState()
+    for number in range(2 * WHOLE_JOBS_KEPT):
+        finish(state, f"j{number}")
+    data = encode_state(state)
+    assert len(data) < WHOLE_JOBS_KEPT * (1_000 + 300)
+    restored = decode_state(data)
+    assert restored.jobs["j0"].get_progress() == (
+        state.jobs["j0"].get_progress()
+    )
+    assert encode_state(restored) == data
