Metrics of the queue by organisation, of runs, and of refusals by reason

Change: queued_jobs, running_tasks, refusals; the log line of a refusal names the reason's code beside its text. Measured: tests only; the page's test holds names to the code.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,8 @@
 SEED ?= 1
 DURATION_S ?= 120
 
-.PHONY: setup demo demo-zones mutations rounds test lint bench slopes plots soak load clean
+.PHONY: setup demo demo-zones mutations rounds test lint bench bench-site
+.PHONY: slopes slopes-site log-cost plots soak load clean
 
 setup: $(VENV)/.installed
 
@@ -34,12 +35,21 @@
 soak: setup
 	$(BIN)/python -m harness.soak --seed $(SEED) --duration-s $(DURATION_S)
 
-bench: setup
+bench: setup bench-site
 	$(BIN)/python -m benchmarks.bench
 
-slopes: setup
+bench-site: setup
+	$(BIN)/python -m benchmarks.site_bench
+
+slopes: setup slopes-site
 	$(BIN)/python -m benchmarks.slopes
 
+slopes-site: setup
+	$(BIN)/python -m benchmarks.site_slopes
+
+log-cost: setup
+	$(BIN)/python -m benchmarks.log_cost
+
 mutations: setup
 	$(BIN)/python -m harness.mutations
 
--- a/lagoonbeam/site/interface.py
+++ b/lagoonbeam/site/interface.py
@@ -117,7 +117,7 @@
             request.method,
             request.target,
             status=problem.status,
-            cause=str(error),
+            error=error,
             job_id=job_id,
         )
         headers = {"Content-Type": MEDIA_TYPE, **problem.headers}
--- a/lagoonbeam/site/metrics.py
+++ b/lagoonbeam/site/metrics.py
@@ -31,8 +31,8 @@
                 f"lagoonbeam_{name}", text, labels, registry=registry
             )
 
-        def gauge(name: str, text: str) -> Gauge:
-            return Gauge(f"lagoonbeam_{name}", text, registry=registry)
+        def gauge(name: str, text: str, *labels: str) -> Gauge:
+            return Gauge(f"lagoonbeam_{name}", text, labels, registry=registry)
 
         def histogram(name: str, text: str) -> Histogram:
             return Histogram(
@@ -46,6 +46,9 @@
         self.requests = counter(
             "requests", "Callers' requests by status.", "method", "status"
         )
+        self.refusals = counter(
+            "refusals", "Callers' requests not served, by reason.", "reason"
+        )
         self.store_calls = counter(
             "store_calls", "Store calls by route and result.", "route", "result"
         )
@@ -72,6 +75,10 @@
         self.configuration = gauge("configuration_version", "In force.")
         self.journal_age_s = gauge("journal_age_seconds", "Age of the copy.")
         self.open_jobs = gauge("open_jobs", "Jobs that are not ended.")
+        self.queued_jobs = gauge(
+            "queued_jobs", "Not started.", "queue", "organisation"
+        )
+        self.running_tasks = gauge("running_tasks", "Runs that may exist.")
         self.usable_workers = gauge("usable_workers", "While active.")
 
     def render(self) -> bytes:
--- a/lagoonbeam/site/node.py
+++ b/lagoonbeam/site/node.py
@@ -126,7 +126,12 @@
             metrics.term.set(scheduler.token if scheduler else 0)
             metrics.configuration.set(self.service.configuration.version)
             metrics.journal_age_s.set(self.follower.age_s)
-            metrics.open_jobs.set(self.follower.state.count_open())
+            state = self.follower.state
+            metrics.open_jobs.set(state.count_open())
+            metrics.running_tasks.set(sum(map(len, state.placed.values())))
+            metrics.queued_jobs.clear()
+            for labels, count in state.count_queued().items():
+                metrics.queued_jobs.labels(*labels).set(count)
             await anyio.sleep(MEASURE_S)
 
     async def _join(self) -> None:
--- a/lagoonbeam/site/service.py
+++ b/lagoonbeam/site/service.py
@@ -7,6 +7,7 @@
 
 from lagoonbeam.errors import (
     DrainingError,
+    LagoonbeamError,
     NotReadyError,
     UnauthorizedError,
     UnavailableError,
@@ -187,7 +188,7 @@
         target: str,
         *,
         status: int,
-        cause: str,
+        error: LagoonbeamError,
         job_id: str = "",
     ) -> None:
         """Writes why a call was not served.
@@ -196,16 +197,18 @@
             method: HTTP method.
             target: Path and query.
             status: What the caller is told.
-            cause: Why.
+            error: Why.
             job_id: The job concerned, if known.
         """
+        self._decisions.metrics.refusals.labels(error.code).inc()
         self._decisions.emit(
             Event.REQUEST_REFUSED,
             method=method,
             target=target,
             job=job_id,
             status=status,
-            cause=cause,
+            reason=error.code,
+            cause=str(error),
             version=self.configuration.version,
         )
 
--- a/lagoonbeam/site/state.py
+++ b/lagoonbeam/site/state.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import functools
-from collections import defaultdict
+from collections import Counter, defaultdict
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 
@@ -33,6 +33,7 @@
     WaveBegun,
     WaveCompleted,
 )
+from lagoonbeam.types import OrganisationName
 
 ENDED_JOBS_KEPT = 4_000
 """Ended jobs whose state is still told; the oldest are forgotten first."""
@@ -156,6 +157,14 @@
             if job.request.queue.name == queue and not job.has_started
         )
 
+    def count_queued(self) -> Counter[tuple[str, OrganisationName]]:
+        """Returns open jobs that have not started, by queue and caller."""
+        return Counter(
+            (job.request.queue.name, job.request.organisation)
+            for job in self._open.values()
+            if not job.has_started
+        )
+
     def end_job(self, job: JobEntry, state: JobState) -> None:
         """Gives an open job its final state."""
         if not job.is_open:
--- a/tests/site/test_interface.py
+++ b/tests/site/test_interface.py
@@ -187,6 +187,8 @@
     async def scenario(scene: Scene) -> None:
         refused = await scene.call("GET", "/v1/jobs", token="other")
         assert (refused.status, code(refused)) == (401, "unauthorized")
+        metrics = await scene.call("GET", "/metrics", token="")
+        assert b'refusals_total{reason="unauthorized"} 1.0' in metrics.body
         assert (await scene.call("PUT", "/v1/jobs")).status == 405
 
     play(scenario)
--- a/tests/site/test_state.py
+++ b/tests/site/test_state.py
@@ -103,6 +103,7 @@
     (unit,) = accept(state, make_job("a"))
     accept(state, make_job("b"))
     assert state.count_pending("q1") == 2
+    assert state.count_queued() == {("q1", "armor"): 2}
     place(state, unit, "w0")
     end(state, unit.key, 1, End.STOPPED)
     assert state.count_pending("q1") == 1
