--- a/harness/mutations.py
+++ b/harness/mutations.py
@@ -55,7 +55,7 @@
     ),
     Mutation(
         "no partial gang: a lost member stops the rest",
-        "lagoonbeam/scheduler/zone.py",
+        "lagoonbeam/scheduler/endings.py",
         "        elif not gang.is_whole:",
         "        elif False:",
         "tests/test_zone.py::TestMemberLost"
@@ -63,15 +63,15 @@
     ),
     Mutation(
         "denials are true: what ran is not denied",
-        "lagoonbeam/scheduler/zone.py",
-        "        if job.job_id in self._touched:",
+        "lagoonbeam/scheduler/endings.py",
+        "        if job.job_id in self._term.touched:",
         "        if False:",
         "tests/test_zone.py::TestDenial::test_requeued_job_may_have_run",
     ),
     Mutation(
         "denials are true: workers are fenced first",
-        "lagoonbeam/scheduler/zone.py",
-        "        return fenced and bool(self.links)",
+        "lagoonbeam/scheduler/endings.py",
+        "        return fenced and bool(self._term.links)",
         "        return True",
         "tests/test_zone.py::TestDenial::test_earlier_term_may_have_started_it",
     ),
@@ -85,7 +85,7 @@
     ),
     Mutation(
         "at most once: a lost launch is not repeated",
-        "lagoonbeam/scheduler/zone.py",
+        "lagoonbeam/scheduler/endings.py",
         "        elif job.idempotent or gang.saved_s > 0 or gang.never_ran:",
         "        elif True:",
         "tests/test_zone.py::TestMemberLost"
@@ -129,7 +129,7 @@
     ),
     Mutation(
         "a leaving endpoint gets nothing new",
-        "lagoonbeam/scheduler/zone.py",
+        "lagoonbeam/scheduler/reports.py",
         '            or link.entry.state == "leaving"',
         "            or False",
         "tests/test_promises.py::test_a_leaving_endpoint_gets_nothing_new",
--- a/lagoonbeam/scheduler/node.py
+++ b/lagoonbeam/scheduler/node.py
@@ -50,7 +50,8 @@
 from lagoonbeam.scheduler.leadership import Leadership
 from lagoonbeam.scheduler.peers import PeerAddress, Peers
 from lagoonbeam.scheduler.service import answer_message
-from lagoonbeam.scheduler.zone import ZoneContext, ZoneScheduler
+from lagoonbeam.scheduler.term_state import ZoneContext
+from lagoonbeam.scheduler.zone import ZoneScheduler
 from lagoonbeam.types import JobId
 
 HOUSEKEEPING_S = 1.0
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -44,7 +44,8 @@
 from lagoonbeam.instances.base import InstanceEntry
 from lagoonbeam.log.base import LogPage, LogStore
 from lagoonbeam.scheduler.journal import Journal
-from lagoonbeam.scheduler.zone import ZoneContext, ZoneScheduler
+from lagoonbeam.scheduler.term_state import ZoneContext
+from lagoonbeam.scheduler.zone import ZoneScheduler
 
 ZONE = "z1"
 TERM = Term(1, "z1-0")
