The end of a job is one line, though its runs end together

Cause: members of a gang end at several workers at once; each session journals its ends, and all saw the job open before and completed after. Change: the entry remembers that this instance has written the line.

--- a/lagoonbeam/site/endings.py
+++ b/lagoonbeam/site/endings.py
@@ -122,6 +122,10 @@
         return self._get_policy(job).max_attempts
 
     def _note_ended(self, job: JobEntry, **inputs: object) -> None:
+        """Writes a job's end once, however many of its runs end at a time."""
+        if job.is_noted:
+            return
+        job.is_noted = True
         age_s = time.time() - job.request.accepted_at_s
         progress = job.get_progress()
         self._decisions.metrics.finish_s.observe(max(0.0, age_s))
--- a/lagoonbeam/site/entries.py
+++ b/lagoonbeam/site/entries.py
@@ -135,6 +135,7 @@
         most_failed: The unit with the most failures, if any failed; those of
             long-running steps do not count.
         retired: What is kept in place of the units, once it is retired.
+        is_noted: Whether this instance has written the line of its end.
     """
 
     request: JobRequest
@@ -144,6 +145,7 @@
     open_units: int = 0
     most_failed: UnitState | None = None
     retired: Retired | None = None
+    is_noted: bool = False
 
     @property
     def is_open(self) -> bool:
