explain: refusals before acceptance, takeovers and other stops in the cause

Change: the sentence names refused calls, takeovers while the job was open, and the most frequent other cause of stops.

--- a/lagoonbeam/commands/explain.py
+++ b/lagoonbeam/commands/explain.py
@@ -4,6 +4,7 @@
 
 import heapq
 import re
+from collections import Counter, defaultdict
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
 from pathlib import Path
@@ -102,44 +103,73 @@
 
 def find_cause(story: Iterable[Line], job_id: str) -> str:
     """Returns in one sentence why a job ended as it did."""
-    last: dict[str, dict[str, Any]] = {}
-    waits: list[dict[str, Any]] = []
-    stops: list[dict[str, Any]] = []
+    story = list(story)
+    own: dict[str, list[Line]] = defaultdict(list)
     for line in story:
-        if not line.concerns(job_id):
-            continue
-        fields = dict(line.fields)
-        last[line.event] = fields
-        if line.event == Event.UNIT_WAITS:
-            waits.append(fields)
-        if line.event == Event.RUN_STOP and "room for" in fields["cause"]:
-            stops.append(fields)
-    ended = last.get(Event.JOB_ENDED)
-    if ended is not None and ended["state"] == "failed":
-        return (
-            f"failed: {ended['task']} failed {ended['failures']} times,"
-            f" {ended['allowed']} are allowed"
-        )
-    if Event.JOB_CANCELLED in last:
+        if line.concerns(job_id):
+            own[line.event].append(line)
+    if own[Event.JOB_ENDED]:
+        ended = dict(own[Event.JOB_ENDED][-1].fields)
+        if ended["state"] == "completed":
+            return ", ".join(
+                [
+                    f"completed after {ended['age_s']} s",
+                    *_list_delays(story, own, ended),
+                ]
+            )
+        if "failures" in ended:
+            return (
+                f"failed: {ended['task']} failed {ended['failures']} times,"
+                f" {ended['allowed']} are allowed"
+            )
+        return f"ended as {ended['state']} after {ended['age_s']} s"
+    if own[Event.JOB_CANCELLED]:
         return "cancelled by its caller"
-    refused = last.get(Event.REQUEST_REFUSED)
-    if ended is None and Event.JOB_ACCEPTED not in last and refused is not None:
-        return f"refused with {refused['status']}: {refused['cause']}"
-    if ended is None:
-        wait = f"; it waits: {_show(waits[-1])}" if waits else ""
-        return f"not ended in these logs{wait}"
-    causes = [f"completed after {ended['age_s']} s"]
+    refused = own[Event.REQUEST_REFUSED]
+    if refused and not own[Event.JOB_ACCEPTED]:
+        fields = dict(refused[-1].fields)
+        return f"refused with {fields['status']}: {fields['cause']}"
+    waits = own[Event.UNIT_WAITS]
+    wait = f"; it waits: {_show(dict(waits[-1].fields))}" if waits else ""
+    return f"not ended in these logs{wait}"
+
+
+def _list_delays(
+    story: list[Line], own: dict[str, list[Line]], ended: dict[str, Any]
+) -> Iterator[str]:
+    """Yields what a completed job had to wait for."""
+    refused = own[Event.REQUEST_REFUSED]
+    if refused:
+        fields = dict(refused[0].fields)
+        yield (
+            f"{len(refused)} of its calls were refused (the first with"
+            f" {fields['status']}: {fields['cause']})"
+        )
+    claims = [line for line in story if line.event == Event.TERM_CLAIMED]
+    if claims:
+        yield (
+            f"{len(claims)} takeovers while it was open (the first"
+            f" {claims[0].at_s - story[0].at_s:.1f} s after its first line)"
+        )
+    waits = own[Event.UNIT_WAITS]
     if waits:
-        causes.append(
+        fields = dict(waits[0].fields)
+        yield (
             f"{len(waits)} of its units waited for room (the first with"
-            f" {waits[0]['free_accelerators']} accelerators free)"
+            f" {fields['free_accelerators']} accelerators free)"
+            if "free_accelerators" in fields
+            else f"{len(waits)} of its units waited for what is not guaranteed"
         )
-    if stops:
-        causes.append(f"{len(stops)} runs were stopped for urgent work")
+    stops = [str(dict(line.fields)["cause"]) for line in own[Event.RUN_STOP]]
+    urgent = [cause for cause in stops if "room for" in cause]
+    if urgent:
+        yield f"{len(urgent)} runs were stopped for urgent work"
+    others = Counter(cause for cause in stops if "room for" not in cause)
+    for cause, count in others.most_common(1):
+        yield f"{count} runs were stopped: {cause}"
     again = ended["starts"] - ended["tasks"]
     if again > 0:
-        causes.append(f"{again} starts were repeats")
-    return ", ".join(causes)
+        yield f"{again} starts were repeats"
 
 
 def _show(fields: dict[str, Any]) -> str:
