Free accelerators in the log are never negative

Cause: room that is kept for a unit counts beside the units that are still being stopped for it; the sum took rooms below zero for less than none. Ruled out: a wrong decision (no task fits in a room below zero). Change: rooms below zero count as none. Test fails on the old code.

--- a/lagoonbeam/site/planner.py
+++ b/lagoonbeam/site/planner.py
@@ -287,7 +287,9 @@
             priority=policy.priority,
             may_be_far=allow_far,
             workers=len(rooms),
-            free_accelerators=sum(r.accelerators for r in rooms.values()),
+            free_accelerators=sum(
+                max(0, room.accelerators) for room in rooms.values()
+            ),
             evicting=unit.key in self._memory.reserved,
         )
         return None
--- a/tests/site/test_planner.py
+++ b/tests/site/test_planner.py
@@ -239,3 +239,21 @@
     for number in range(4):
         accept(state, now_job(f"a{number}", WHOLE, priority=0, runs_once=True))
     assert len(plan(state, make_sessions(4)).starts) == 4
+
+
+def test_room_promised_after_a_stop_is_not_told_as_free_or_less() -> None:
+    state = SiteState()
+    (held,) = accept(state, now_job("a", WHOLE, priority=1))
+    place(state, held, "w0")
+    accept(state, now_job("b", WHOLE, priority=0))
+    told: list[dict[str, Any]] = []
+    decisions: Any = SimpleNamespace(
+        emit=lambda event, **fields: told.append({"event": event, **fields})
+    )
+    memory = PlanMemory(decisions)
+    sessions = make_sessions(1)
+    for _ in range(2):
+        make_plan(memory, state, sessions, sessions, make_configuration())
+        accept(state, now_job("c", WHOLE, priority=0))
+    free = [x["free_accelerators"] for x in told if "free_accelerators" in x]
+    assert free and min(free) == 0
