--- a/lagoonbeam/scheduler/node.py
+++ b/lagoonbeam/scheduler/node.py
@@ -2,12 +2,9 @@
 
 from __future__ import annotations
 
-import logging
-import time
 import uuid
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
-from itertools import islice
 
 import anyio
 import anyio.abc
@@ -17,7 +14,6 @@
 from lagoonbeam.core.jobs import Job, JobStatus
 from lagoonbeam.core.link import Link
 from lagoonbeam.core.messages import (
-    CancelJob,
     FinishNotice,
     Heartbeat,
     LogEntry,
@@ -36,32 +32,21 @@
 from lagoonbeam.errors import (
     DrainingError,
     LogUnavailableError,
-    LogUncertainError,
     NotActiveError,
-    UnknownJobError,
-    ZoneUnreachableError,
     make_error,
 )
 from lagoonbeam.instances import DIRECTORIES
 from lagoonbeam.log import LOGS
 from lagoonbeam.scheduler.catalog import Catalog
+from lagoonbeam.scheduler.housekeeping import Housekeeping
 from lagoonbeam.scheduler.intake import Intake
 from lagoonbeam.scheduler.journal import Journal
+from lagoonbeam.scheduler.known_jobs import KnownJobs
 from lagoonbeam.scheduler.leadership import Leadership
 from lagoonbeam.scheduler.peers import PeerAddress, Peers
 from lagoonbeam.scheduler.service import answer_message
 from lagoonbeam.scheduler.term_state import ZoneContext
 from lagoonbeam.scheduler.zone import ZoneScheduler
-from lagoonbeam.types import JobId
-
-HOUSEKEEPING_S = 1.0
-"""Time between two rounds of housekeeping."""
-MAX_NOTICES = 10_000
-"""Statuses from peers kept for jobs whose outcome the log lacks."""
-FORWARD_TIMEOUT_S = 2.0
-"""Deadline of a call that is passed on to another instance."""
-
-_LOGGER = logging.getLogger(__name__)
 
 
 class SchedulerNode:
@@ -118,7 +103,23 @@
         self.zone: ZoneScheduler | None = None
         self.draining = False
         self._open_calls = 0
-        self._notices: dict[JobId, JobStatus] = {}
+        self.known = KnownJobs(
+            zone=settings.availability_zone,
+            journal=self.journal,
+            intake=self.intake,
+            peers=self.peers,
+            get_zone=lambda: self.zone,
+            is_draining=lambda: self.draining,
+        )
+        self._housekeeping = Housekeeping(
+            settings,
+            journal=self.journal,
+            intake=self.intake,
+            peers=self.peers,
+            leadership=self.leadership,
+            metrics=self.metrics,
+            get_zone=lambda: self.zone,
+        )
         self._faults = FaultPoints(settings.fault_points)
         self._tasks: anyio.abc.TaskGroup | None = None
         self.journal.listen(self._on_record)
@@ -158,7 +159,7 @@
         await self.catalog.start()
         tasks.start_soon(self.catalog.run)
         tasks.start_soon(self.leadership.run)
-        tasks.start_soon(self._keep_house)
+        tasks.start_soon(self._housekeeping.run)
         self.events.emit("scheduler.started")
 
     async def close(self) -> None:
@@ -209,91 +210,6 @@
         if self.zone is not None:
             self.zone.enqueue(job, provisional=provisional)
 
-    async def wait_job(self, job_id: JobId, wait_s: float) -> JobStatus:
-        """Returns a job's status once it is finished, or after `wait_s`.
-
-        Raises:
-            UnknownJobError: If no such job is known.
-            DrainingError: If this instance leaves before the job is finished.
-        """
-        if self.describe(job_id) is None:
-            await self.journal.catch_up()
-        with anyio.move_on_after(wait_s):
-            while not self.draining:
-                status = self.describe(job_id)
-                if status is not None and status.outcome:
-                    break
-                await self.journal.wait_changed()
-        status = self.describe(job_id)
-        if self.draining and wait_s and not (status and status.outcome):
-            raise DrainingError("this instance is leaving", retry_after_s=0.1)
-        if status is None:
-            raise UnknownJobError(f"got job {job_id!r}, which is not known")
-        return status
-
-    def describe(self, job_id: JobId) -> JobStatus | None:
-        """Returns what is known of a job here."""
-        status = self.journal.state.describe_job(job_id)
-        if status is not None and status.outcome:
-            return status
-        live = self.zone.describe(job_id) if self.zone else None
-        if live is not None:
-            return live
-        notice = self._notices.get(job_id)
-        if notice is not None:
-            return notice
-        if status is None and job_id in self.intake.provisional:
-            job = self.intake.provisional[job_id]
-            return JobStatus(
-                job_id,
-                job.organisation,
-                availability_zone=job.availability_zone,
-                durability="peer",
-                accepted_at_s=job.accepted_at_s,
-            )
-        return status
-
-    async def cancel(self, job_id: JobId) -> JobStatus:
-        """Cancels a job in whatever zone it is.
-
-        Raises:
-            UnknownJobError: If no such job is known.
-            ZoneUnreachableError: If its zone cannot be told.
-        """
-        if self.describe(job_id) is None:
-            await self.journal.catch_up()
-        status = self.describe(job_id)
-        if status is None:
-            raise UnknownJobError(f"got job {job_id!r}, which is not known")
-        if status.outcome:
-            return status
-        zone = status.availability_zone
-        if self.zone is not None and zone == self.settings.availability_zone:
-            self.zone.cancel(job_id)
-            return self.describe(job_id) or status
-        active = self.peers.find_active(zone)
-        if active is None:
-            raise ZoneUnreachableError(
-                f"the active scheduler of zone {zone!r} is not reachable; the"
-                " job was not cancelled",
-                retry_after_s=2.0,
-            )
-        reply = await self.peers.call(
-            active.instance, CancelJob(job_id), timeout_s=FORWARD_TIMEOUT_S
-        )
-        return reply if isinstance(reply, JobStatus) else status
-
-    def list_jobs(self, organisation: str, limit: int) -> list[JobStatus]:
-        """Returns the latest jobs of an organisation (empty for all)."""
-        entries = reversed(self.journal.state.jobs.values())
-        found = (
-            entry.job.job_id
-            for entry in entries
-            if organisation in ("", entry.job.organisation)
-        )
-        statuses = (self.describe(job_id) for job_id in islice(found, limit))
-        return [status for status in statuses if status is not None]
-
     async def publish_rules(self, document: str, author: str) -> int:
         """Publishes rules and waits for the verdict.
 
@@ -323,19 +239,6 @@
             )
         return verdict.version
 
-    def take_notice(self, status: JobStatus) -> None:
-        """Takes a peer's word for what became of a job."""
-        job_id = status.job_id
-        known = self._notices.get(job_id)
-        if known is not None and known.outcome and not status.outcome:
-            return
-        self._notices[job_id] = status
-        if len(self._notices) > MAX_NOTICES:
-            del self._notices[next(iter(self._notices))]
-        if status.outcome:
-            self.intake.settle(job_id)
-        self.journal.poke()
-
     def take_entries(self, entries: list[LogEntry]) -> None:
         """Folds entries that a peer passed on."""
         for entry in entries:
@@ -388,14 +291,14 @@
         await link.run()
 
     def _announce(self, status: JobStatus) -> None:
-        self.take_notice(status)
+        self.known.take_notice(status)
         self.peers.broadcast(FinishNotice(status))
 
     def _on_record(self, record: AnyRecord) -> None:
         if isinstance(record, JobAccepted):
             self.intake.settle(record.job.job_id)
         elif isinstance(record, JobFinished):
-            self._notices.pop(record.job_id, None)
+            self.known.forget(record.job_id)
         elif isinstance(record, RulesPublished):
             verdict = self.journal.state.verdicts[record.publication_id]
             self.events.emit(
@@ -443,44 +346,3 @@
         if self.zone is not None:
             own_zone = self.settings.availability_zone
             self.zone.set_workers(self.catalog.list_workers(own_zone))
-
-    async def _keep_house(self) -> None:
-        """Writes snapshots and what could not be written in an outage."""
-        while True:
-            await anyio.sleep(HOUSEKEEPING_S)
-            self._report_metrics()
-            if not (self.journal.log_up and self.journal.caught_up):
-                continue
-            self._append_provisional()
-            if self._is_snapshot_due():
-                try:
-                    await self.journal.take_snapshot(
-                        timeout_s=self.settings.append_timeout_s
-                    )
-                except (LogUnavailableError, LogUncertainError) as error:
-                    _LOGGER.warning("snapshot: %s", error)
-
-    def _append_provisional(self) -> None:
-        old_s = time.time() - HOUSEKEEPING_S
-        for job in list(self.intake.provisional.values()):
-            if job.accepted_at_s < old_s:
-                self.intake.settle(job.job_id)
-                self.journal.append_later(JobAccepted(job=job))
-
-    def _is_snapshot_due(self) -> bool:
-        """The first live instance writes snapshots, for all."""
-        due = self.settings.log.snapshot_entries
-        if self.journal.entries_since_snapshot < due:
-            return False
-        others = (h.instance for h in self.peers.iterate_fresh() if h.ready)
-        return all(self.settings.instance < other for other in others)
-
-    def _report_metrics(self) -> None:
-        self.metrics.gauge("log.up", int(self.journal.log_up))
-        self.metrics.gauge("scheduler.active", int(self.leadership.active))
-        self.metrics.gauge("log.next_offset", self.journal.state.next_offset)
-        if self.zone is not None:
-            planner = self.zone.planner
-            self.metrics.gauge("slots.free", planner.free_slots)
-            self.metrics.gauge("slots.total", planner.total_slots)
-            self.metrics.gauge("queue.slots", planner.queued_slots)
--- a/lagoonbeam/scheduler/service.py
+++ b/lagoonbeam/scheduler/service.py
@@ -40,13 +40,11 @@
     UnknownEndpointError,
     ZoneUnreachableError,
 )
+from lagoonbeam.scheduler.known_jobs import FORWARD_TIMEOUT_S
 
 if TYPE_CHECKING:
     from lagoonbeam.scheduler.node import SchedulerNode
 
-FORWARD_TIMEOUT_S = 2.0
-"""Deadline of a call that is passed on to another instance."""
-
 
 @singledispatch
 async def answer_message(message: Message, node: SchedulerNode) -> Message:
@@ -85,22 +83,22 @@
 
 @answer_message.register(WaitJob)
 async def _(message: WaitJob, node: SchedulerNode) -> Message:
-    return await node.wait_job(message.job_id, message.wait_s)
+    return await node.known.wait_job(message.job_id, message.wait_s)
 
 
 @answer_message.register(CancelJob)
 async def _(message: CancelJob, node: SchedulerNode) -> Message:
-    return await node.cancel(message.job_id)
+    return await node.known.cancel(message.job_id)
 
 
 @answer_message.register(ListJobs)
 async def _(message: ListJobs, node: SchedulerNode) -> Message:
-    return JobList(node.list_jobs(message.organisation, message.limit))
+    return JobList(node.known.list_jobs(message.organisation, message.limit))
 
 
 @answer_message.register(FinishNotice)
 async def _(message: FinishNotice, node: SchedulerNode) -> Message:
-    node.take_notice(message.status)
+    node.known.take_notice(message.status)
     return Acknowledgement()
 
 
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -31,8 +31,8 @@
 
         async def scenario() -> None:
             await log.append(encode_batch(batch))
-            assert (await node.wait_job("j1", 0.0)).job_id == "j1"
+            assert (await node.known.wait_job("j1", 0.0)).job_id == "j1"
             with pytest.raises(UnknownJobError):
-                await node.cancel("j2")
+                await node.known.cancel("j2")
 
         anyio.run(scenario)
