Duties about machines share one base; benches share their cases

Change: duties.py (context, steps, watch); benchmarks/cases.py. No change of behaviour; the tests of both pass.

--- a/benchmarks/bench.py
+++ b/benchmarks/bench.py
@@ -6,9 +6,7 @@
 
 from __future__ import annotations
 
-import argparse
 import json
-import multiprocessing
 import statistics
 import sys
 import traceback
@@ -18,6 +16,7 @@
 from rich.console import Console
 from rich.table import Table
 
+from benchmarks.cases import run_cases
 from benchmarks.fleets import ARMOR, VESTNES
 from benchmarks.scenes import SCENES
 from benchmarks.simulation import POLICIES, Simulation, measure
@@ -66,29 +65,22 @@
 
 def main() -> None:
     """Runs everything and prints the results."""
-    parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--seeds", type=int, default=10)
-    parser.add_argument("--processes", type=int, default=5)
-    parser.add_argument("--scene", default="")
-    parser.add_argument("--policies", default=",".join(POLICIES))
-    arguments = parser.parse_args()
-    cases = [
-        (index, fleet, policy, seed)
-        for index, make in enumerate(SCENES)
-        if arguments.scene in make.__name__
-        for fleet in FLEETS
-        for policy in arguments.policies.split(",")
-        for seed in range(1, arguments.seeds + 1)
-    ]
-    with multiprocessing.Pool(arguments.processes) as pool:
-        rows = pool.map(run_case, cases, chunksize=1)
+    found = run_cases(
+        run_case,
+        description=__doc__,
+        scenes=SCENES,
+        fleets=FLEETS,
+        policies=POLICIES,
+        processes=5,
+    )
     collected: dict[tuple[str, str, str], dict[str, list[float]]] = defaultdict(
         lambda: defaultdict(list)
     )
-    for (_, fleet, policy, _), row in zip(cases, rows, strict=True):
-        scene = str(row.pop("scene"))
-        for name, value in row.items():
-            collected[scene, fleet, policy][name].append(value)
+    for (_, fleet, policy), rows in found.items():
+        for row in rows:
+            scene = str(row.pop("scene"))
+            for name, value in row.items():
+                collected[scene, fleet, policy][name].append(value)
     results: dict[str, Any] = defaultdict(lambda: defaultdict(dict))
     for (scene, fleet, policy), values in collected.items():
         results[scene][fleet][policy] = {
--- a/benchmarks/site_bench.py
+++ b/benchmarks/site_bench.py
@@ -6,9 +6,7 @@
 
 from __future__ import annotations
 
-import argparse
 import json
-import multiprocessing
 import statistics
 from collections import defaultdict
 from typing import Any
@@ -16,6 +14,7 @@
 from rich.console import Console
 from rich.table import Table
 
+from benchmarks.cases import run_cases
 from benchmarks.site_scenes import ARMOR, SCENES, TAUVERK
 from benchmarks.site_simulation import SiteSimulation, measure
 from lagoonbeam.site.policies import PolicyNames
@@ -63,33 +62,21 @@
 
 def main() -> None:
     """Runs everything and prints the results."""
-    parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--seeds", type=int, default=10)
-    parser.add_argument("--processes", type=int, default=3)
-    parser.add_argument("--scene", default="")
-    parser.add_argument("--policies", default=",".join(POLICIES))
-    arguments = parser.parse_args()
-    cases = [
-        (index, fleet, policy, seed)
-        for index, make in enumerate(SCENES)
-        if arguments.scene in make.__name__
-        for fleet in FLEETS
-        for policy in arguments.policies.split(",")
-        for seed in range(1, arguments.seeds + 1)
-    ]
-    with multiprocessing.Pool(arguments.processes) as pool:
-        rows = pool.map(run_case, cases, chunksize=1)
-    collected: dict[tuple[str, str, str], dict[str, list[float]]] = defaultdict(
-        lambda: defaultdict(list)
+    found = run_cases(
+        run_case,
+        description=__doc__,
+        scenes=SCENES,
+        fleets=FLEETS,
+        policies=POLICIES,
+        processes=3,
     )
-    for (index, fleet, policy, _), row in zip(cases, rows, strict=True):
-        for name, value in row.items():
-            key = (SCENES[index].__name__, fleet, policy)
-            collected[key][name].append(value)
     results: dict[str, Any] = defaultdict(lambda: defaultdict(dict))
     table = Table("scene", "deployment", "policies", *COLUMNS, box=None)
-    for (scene, fleet, policy), values in collected.items():
-        means = {n: statistics.fmean(each) for n, each in values.items()}
+    for (scene, fleet, policy), rows in found.items():
+        means = {
+            name: statistics.fmean(row[name] for row in rows)
+            for name in rows[0].keys() & set(COLUMNS)
+        }
         results[scene][fleet][policy] = {
             name: round(value, 4) for name, value in means.items()
         }
--- a/lagoonbeam/site/pools.py
+++ b/lagoonbeam/site/pools.py
@@ -3,26 +3,19 @@
 from __future__ import annotations
 
 import time
-from collections.abc import Awaitable, Callable, Sequence
-
-import anyio
+from collections.abc import Callable
 
 from lagoonbeam.errors import FencedError, LagoonbeamError
-from lagoonbeam.site.decisions import Decisions
-from lagoonbeam.site.dependency import DependencyWatch
+from lagoonbeam.site.duties import Duty, DutyContext
 from lagoonbeam.site.events import Event
 from lagoonbeam.site.machines import (
-    DutyHolder,
     Machine,
     MachineRefusal,
-    MachineService,
     MachineState,
     RefusalReason,
 )
 from lagoonbeam.site.model import Configuration, Step
-from lagoonbeam.site.records import MachineMoved, Record
-from lagoonbeam.site.state import SiteState
-from lagoonbeam.site.vacating import Vacating
+from lagoonbeam.site.records import MachineMoved
 
 LOOK_S = 1.0
 """Seconds between two decisions."""
@@ -75,55 +68,32 @@
         )
 
 
-class Pools:
+class Pools(Duty):
     """Lends machines of spare pools.
 
     Args:
-        service: The machines.
+        context: What the duties share.
         shortage: Which services are short.
-        get_state: Returns the state in force.
         get_configuration: Returns the configuration in force.
-        journal: Appends records; returns whether they are stored.
-        vacating: Empties workers.
-        holder: Who gives the orders.
-        lose_term: Called when a machine has seen a higher token.
-        decisions: The decision log.
     """
 
+    name = "moves"
+    pause_s = LOOK_S
+
     def __init__(
         self,
-        service: MachineService,
+        context: DutyContext,
         shortage: Shortage,
-        *,
-        get_state: Callable[[], SiteState],
         get_configuration: Callable[[], Configuration],
-        journal: Callable[[Sequence[Record]], Awaitable[bool]],
-        vacating: Vacating,
-        holder: DutyHolder,
-        lose_term: Callable[[str], None],
-        decisions: Decisions,
     ):
-        self._service = service
+        super().__init__(context)
         self._shortage = shortage
-        self._get_state = get_state
         self._get_configuration = get_configuration
-        self._journal = journal
-        self._vacating = vacating
-        self._holder = holder
-        self._lose_term = lose_term
-        self._decisions = decisions
-        self._watch = DependencyWatch("machines, for moves", decisions)
         self._opened_s = time.monotonic()
         self._moved_s: dict[str, float] = {}
         self._unsuited: set[tuple[str, str]] = set()
         self._leaving: dict[str, str] = {}
 
-    async def run(self) -> None:
-        """Moves machines until cancelled."""
-        while True:
-            await self._watch.run(self.step)
-            await anyio.sleep(LOOK_S)
-
     async def step(self) -> None:
         """Moves at most one machine into each service, and idle ones back.
 
@@ -136,7 +106,7 @@
             for service, step in self._shortage.find_short().items()
             if service not in spare and self._may_move(service)
         }
-        lent = self._get_state().lent_machines
+        lent = self._context.get_state().lent_machines
         if not (spare and short) and not lent:
             return
         idle = {
@@ -146,7 +116,7 @@
         }
         if not short and not idle and not self._leaving:
             return
-        machines = await self._service.list_machines()
+        machines = await self._machines.list_machines()
         for service, step in short.items():
             machine = self._find_spare(machines, spare, service, step)
             if machine is not None:
@@ -188,13 +158,15 @@
         self, machines: dict[str, Machine], idle: set[str]
     ) -> None:
         """Empties machines of idle services, and moves empty ones back."""
-        for name, loan in list(self._get_state().lent_machines.items()):
+        for name, loan in list(self._context.get_state().lent_machines.items()):
             machine = machines.get(name)
             if loan.pool not in idle:
                 self._keep(name)
             elif machine is None or machine.pool != loan.pool:
                 self._keep(name)
-                await self._journal([MachineMoved(name, loan.home, loan.home)])
+                await self._context.journal(
+                    [MachineMoved(name, loan.home, loan.home)]
+                )
             elif machine.state is MachineState.UP:
                 self._leaving[name] = machine.worker
                 self._vacating.begin(machine.worker)
@@ -211,24 +183,30 @@
         self._moved_s[pool] = time.monotonic()
         outcome = "moved"
         try:
-            await self._service.move(machine.machine_id, pool, self._holder)
+            await self._machines.move(
+                machine.machine_id, pool, self._context.holder
+            )
         except MachineRefusal as refusal:
             outcome = f"refused: {refusal.reason.value}"
             if refusal.reason is RefusalReason.NOT_CONCERNED:
                 self._unsuited.add((machine.machine_id, pool))
         except FencedError:
-            self._lose_term(f"machine {machine.machine_id} has a newer token")
+            self._context.lose_term(
+                f"machine {machine.machine_id} has a newer token"
+            )
             return
         except LagoonbeamError as error:
             outcome = f"in doubt: {error}"
         if not outcome.startswith("refused"):
             self._keep(machine.machine_id)
-            await self._journal([MachineMoved(machine.machine_id, pool, home)])
-        self._decisions.emit(
+            await self._context.journal(
+                [MachineMoved(machine.machine_id, pool, home)]
+            )
+        self._context.decisions.emit(
             Event.MACHINE_MOVE,
             machine=machine.machine_id,
             pool=pool,
             before=machine.pool,
-            term=self._holder.token,
+            term=self._context.holder.token,
             outcome=outcome,
         )
--- a/lagoonbeam/site/scheduler.py
+++ b/lagoonbeam/site/scheduler.py
@@ -14,6 +14,7 @@
 from lagoonbeam.site.appender import JournalAppender
 from lagoonbeam.site.bounds import SchedulerBounds
 from lagoonbeam.site.decisions import Decisions
+from lagoonbeam.site.duties import Duty, DutyContext
 from lagoonbeam.site.endings import Endings
 from lagoonbeam.site.entries import JobEntry, TaskState, UnitState
 from lagoonbeam.site.events import Event
@@ -123,41 +124,26 @@
         self._snapshot_s = time.monotonic()
         self._tasks: anyio.abc.TaskGroup | None = None
 
-    def _make_duties(
-        self, ports: Ports, holder: DutyHolder
-    ) -> list[Upkeep | Pools]:
+    def _make_duties(self, ports: Ports, holder: DutyHolder) -> list[Duty]:
         """Returns what is to be done about machines, if any are told."""
         if ports.machines is None:
             return []
-        vacating = Vacating(
-            lambda: self.state, self._fleet, self._memory, self._stop_unit
+        context = DutyContext(
+            machines=ports.machines,
+            get_state=lambda: self.state,
+            journal=self._journal,
+            vacating=Vacating(
+                lambda: self.state, self._fleet, self._memory, self._stop_unit
+            ),
+            holder=holder,
+            lose_term=self.lose_term,
+            decisions=self._decisions,
         )
-        duties: list[Upkeep | Pools] = [
-            Pools(
-                ports.machines,
-                self._shortage,
-                get_state=lambda: self.state,
-                get_configuration=self._get_configuration,
-                journal=self._journal,
-                vacating=vacating,
-                holder=holder,
-                lose_term=self.lose_term,
-                decisions=self._decisions,
-            )
+        duties: list[Duty] = [
+            Pools(context, self._shortage, self._get_configuration)
         ]
         if ports.waves is not None:
-            duties.append(
-                Upkeep(
-                    ports.machines,
-                    ports.waves,
-                    get_state=lambda: self.state,
-                    journal=self._journal,
-                    vacating=vacating,
-                    holder=holder,
-                    lose_term=self.lose_term,
-                    decisions=self._decisions,
-                )
-            )
+            duties.append(Upkeep(context, ports.waves))
         return duties
 
     @property
--- a/lagoonbeam/site/upkeep.py
+++ b/lagoonbeam/site/upkeep.py
@@ -4,19 +4,13 @@
 
 import math
 import time
-from collections.abc import Awaitable, Callable, Sequence
-
-import anyio
 
 from lagoonbeam.errors import FencedError, LagoonbeamError
-from lagoonbeam.site.decisions import Decisions
-from lagoonbeam.site.dependency import DependencyWatch
+from lagoonbeam.site.duties import Duty, DutyContext
 from lagoonbeam.site.events import Event
 from lagoonbeam.site.machines import (
-    DutyHolder,
     Machine,
     MachineRefusal,
-    MachineService,
     MachineState,
     RefusalReason,
     Wave,
@@ -25,12 +19,9 @@
 )
 from lagoonbeam.site.records import (
     MachineServiced,
-    Record,
     WaveBegun,
     WaveCompleted,
 )
-from lagoonbeam.site.state import SiteState
-from lagoonbeam.site.vacating import Vacating
 
 STEP_S = 0.5
 """Seconds between two steps of the waves that are open."""
@@ -41,52 +32,29 @@
 themselves; then they are stopped."""
 
 
-class Upkeep:
+class Upkeep(Duty):
     """Carries out the operators' waves.
 
     Args:
-        service: The machines.
+        context: What the duties share.
         board: Where waves are asked for.
-        get_state: Returns the state in force.
-        journal: Appends records; returns whether they are stored.
-        vacating: Empties workers.
-        holder: Who gives the orders.
-        lose_term: Called when a machine has seen a higher token.
-        decisions: The decision log.
     """
 
+    name = "upkeep"
+    pause_s = STEP_S
+
     def __init__(
         self,
-        service: MachineService,
+        context: DutyContext,
         board: WaveBoard,
-        *,
-        get_state: Callable[[], SiteState],
-        journal: Callable[[Sequence[Record]], Awaitable[bool]],
-        vacating: Vacating,
-        holder: DutyHolder,
-        lose_term: Callable[[str], None],
-        decisions: Decisions,
     ):
-        self._service = service
+        super().__init__(context)
         self._board = board
-        self._get_state = get_state
-        self._journal = journal
-        self._vacating = vacating
-        self._holder = holder
-        self._lose_term = lose_term
-        self._decisions = decisions
-        self._watch = DependencyWatch("machines, for upkeep", decisions)
         self._chosen: dict[str, int] = {}
         self._down: dict[str, int] = {}
         self._excluded: set[tuple[int, str]] = set()
         self._vacated: dict[str, str] = {}
 
-    async def run(self) -> None:
-        """Carries out waves until cancelled."""
-        while True:
-            await self._watch.run(self.step)
-            await anyio.sleep(STEP_S)
-
     async def step(self) -> None:
         """Brings each open wave one step further.
 
@@ -96,23 +64,23 @@
         waves = [
             wave
             for wave in self._board.get_waves()
-            if wave.number not in self._get_state().completed_waves
+            if wave.number not in self._context.get_state().completed_waves
         ]
         if not waves and not self._down:
             return
-        machines = await self._service.list_machines()
+        machines = await self._machines.list_machines()
         self._note_returned(machines)
         for wave in waves:
             await self._advance(wave, machines)
 
     async def _advance(self, wave: Wave, machines: dict[str, Machine]) -> None:
-        state = self._get_state()
+        state = self._context.get_state()
         if wave.number not in state.waves:
             await self._board.report(wave.number, WaveState.RUNNING)
             record = WaveBegun(wave.number, time.time())
-            if not await self._journal([record]):
+            if not await self._context.journal([record]):
                 return
-            self._decisions.emit(
+            self._context.decisions.emit(
                 Event.WAVE_BEGUN,
                 wave=wave.number,
                 machines=len(wave.machines),
@@ -180,8 +148,8 @@
         outcome = "begun"
         self._down[machine.machine_id] = wave.number
         try:
-            await self._service.begin_upkeep(
-                machine.machine_id, wave.number, self._holder
+            await self._machines.begin_upkeep(
+                machine.machine_id, wave.number, self._context.holder
             )
         except MachineRefusal as refusal:
             outcome = f"refused: {refusal.reason.value}"
@@ -190,31 +158,33 @@
                 self._excluded.add((wave.number, machine.machine_id))
                 self._release(machine.machine_id)
         except FencedError:
-            self._lose_term(f"machine {machine.machine_id} has a newer token")
+            self._context.lose_term(
+                f"machine {machine.machine_id} has a newer token"
+            )
             return
         except LagoonbeamError as error:
             outcome = f"in doubt: {error}"
         else:
             record = MachineServiced(wave.number, machine.machine_id)
-            await self._journal([record])
-        self._decisions.emit(
+            await self._context.journal([record])
+        self._context.decisions.emit(
             Event.MACHINE_UPKEEP,
             machine=machine.machine_id,
             worker=machine.worker,
             wave=wave.number,
-            term=self._holder.token,
+            term=self._context.holder.token,
             waited_s=round(self._vacating.get_age_s(machine.worker), 2),
             outcome=outcome,
         )
 
     async def _complete(self, wave: Wave) -> None:
         await self._board.report(wave.number, WaveState.COMPLETED)
-        if await self._journal([WaveCompleted(wave.number)]):
-            self._decisions.emit(Event.WAVE_COMPLETED, wave=wave.number)
+        if await self._context.journal([WaveCompleted(wave.number)]):
+            self._context.decisions.emit(Event.WAVE_COMPLETED, wave=wave.number)
 
     def _get_patience_s(self, wave: Wave, left: int) -> float:
         """Returns the seconds in which a worker's runs may end."""
-        begun_s = self._get_state().waves[wave.number].begun_at_s
+        begun_s = self._context.get_state().waves[wave.number].begun_at_s
         rest_s = begun_s + wave.duration_s - time.time()
         rounds = math.ceil(left / max(1, wave.at_once))
         return PATIENCE_SHARE * max(0.0, rest_s / rounds - DOWN_S)
@@ -249,7 +219,7 @@
     def _list_serviced(self) -> set[tuple[int, str]]:
         return {
             (number, name)
-            for number, wave in self._get_state().waves.items()
+            for number, wave in self._context.get_state().waves.items()
             for name in wave.serviced
         }
 
--- a/tests/site/test_upkeep.py
+++ b/tests/site/test_upkeep.py
@@ -9,6 +9,7 @@
 
 from lagoonbeam.errors import AnswerLostError, FencedError, LagoonbeamError
 from lagoonbeam.site.decisions import Decisions
+from lagoonbeam.site.duties import DutyContext
 from lagoonbeam.site.machines import (
     DutyHolder,
     Machine,
@@ -123,21 +124,17 @@
             memory,
             lambda unit, cause: self.stopped.append(unit.key),
         )
-        common: dict[str, Any] = {
-            "get_state": lambda: self.state,
-            "journal": self.journal,
-            "vacating": self.vacating,
-            "holder": HOLDER,
-            "lose_term": self.lost.append,
-            "decisions": decisions,
-        }
-        self.upkeep = Upkeep(machines, self.board, **common)
-        self.pools = Pools(
-            machines,
-            self.shortage,
-            get_configuration=lambda: self.configuration,
-            **common,
+        context = DutyContext(
+            machines=machines,
+            get_state=lambda: self.state,
+            journal=self.journal,
+            vacating=self.vacating,
+            holder=HOLDER,
+            lose_term=self.lost.append,
+            decisions=decisions,
         )
+        self.upkeep = Upkeep(context, self.board)
+        self.pools = Pools(context, self.shortage, lambda: self.configuration)
 
     async def journal(self, records: Sequence[Record]) -> bool:
         for record in records:
