An urgent unit that waits behind one of equal needs has its line

Cause: units of equal needs are tried once a plan; the others were passed over in silence. Change: the line is written once a start for urgent ones (less urgent work is many). Test fails on the old code.

--- a/lagoonbeam/site/planner.py
+++ b/lagoonbeam/site/planner.py
@@ -129,6 +129,7 @@
             tried.add(unit.key)
             shape = self._get_shape(unit)
             if shape in self._full:
+                self._note_like(unit)
                 continue
             assignment = self._place(unit)
             if assignment is None:
@@ -143,6 +144,14 @@
         tried.clear()
         return self._plan
 
+    def _note_like(self, unit: UnitState) -> None:
+        """Notes that an urgent unit waits behind one of equal needs."""
+        priority = self._policy(unit.job).priority
+        if priority == 0:
+            self._memory.note_waiting(
+                unit, priority=priority, behind_equal_needs=True
+            )
+
     def _policy(self, job: JobEntry) -> QueuePolicy:
         """The policy in force for a job, or that of its acceptance."""
         accepted = job.request.queue
--- a/tests/site/test_planner.py
+++ b/tests/site/test_planner.py
@@ -257,3 +257,19 @@
         accept(state, now_job("c", WHOLE, priority=0))
     free = [x["free_accelerators"] for x in told if "free_accelerators" in x]
     assert free and min(free) == 0
+
+
+def test_urgent_unit_behind_one_of_equal_needs_has_its_line() -> None:
+    state = SiteState()
+    for job_id in "ab":
+        accept(state, now_job(job_id, WHOLE, priority=0))
+    (held,) = accept(state, now_job("c", WHOLE, priority=0))
+    place(state, held, "w0")
+    told: list[str] = []
+    decisions: Any = SimpleNamespace(
+        emit=lambda event, **fields: told.append(fields["task"])
+    )
+    sessions = make_sessions(1)
+    memory = PlanMemory(decisions)
+    make_plan(memory, state, sessions, sessions, make_configuration())
+    assert told == ["a.0.0.0", "b.0.0.0"]
