--- a/lagoonbeam/commands/explain.py
+++ b/lagoonbeam/commands/explain.py
@@ -160,18 +160,50 @@
             if "free_accelerators" in fields
             else f"{len(waits)} of its units waited for what is not guaranteed"
         )
-    stops = [str(dict(line.fields)["cause"]) for line in own[Event.RUN_STOP]]
-    urgent = [cause for cause in stops if "room for" in cause]
+    stops = [dict(line.fields) for line in own[Event.RUN_STOP]]
+    job_id = str(ended["job"])
+    causes = [
+        str(fields["cause"])
+        for fields in stops
+        if str(fields["task"]).startswith(job_id)
+    ]
+    if len(causes) < len(stops):
+        yield f"{len(stops) - len(causes)} runs of others were stopped for it"
+    urgent = [cause for cause in causes if "room for" in cause]
     if urgent:
-        yield f"{len(urgent)} runs were stopped for urgent work"
-    others = Counter(cause for cause in stops if "room for" not in cause)
+        yield f"{len(urgent)} of its runs were stopped for urgent work"
+    others = Counter(cause for cause in causes if "room for" not in cause)
     for cause, count in others.most_common(1):
-        yield f"{count} runs were stopped: {cause}"
+        yield f"{count} of its runs were stopped: {cause}"
+    longest = _find_longest_run(own)
+    if longest is not None:
+        run_s, worker = longest
+        yield f"its longest run took {run_s:.1f} s at {worker}"
     again = ended["starts"] - ended["tasks"]
     if again > 0:
         yield f"{again} starts were repeats"
 
 
+def _find_longest_run(
+    own: dict[str, list[Line]],
+) -> tuple[float, str] | None:
+    """Returns the seconds and the worker of a job's longest run."""
+    began = {
+        (fields["task"], fields["run"]): line.at_s
+        for line in own[Event.RUN_START]
+        for fields in (dict(line.fields),)
+        if "run" in fields
+    }
+    runs = [
+        (line.at_s - began[key], str(fields["worker"]))
+        for line in own[Event.RUN_ENDED]
+        for fields in (dict(line.fields),)
+        for key in ((fields["task"], fields["run"]),)
+        if key in began
+    ]
+    return max(runs, default=None)
+
+
 def _show(fields: dict[str, Any]) -> str:
     return " ".join(f"{key}={value}" for key, value in fields.items())
 
--- a/lagoonbeam/site/planner.py
+++ b/lagoonbeam/site/planner.py
@@ -146,11 +146,8 @@
 
     def _note_like(self, unit: UnitState) -> None:
         """Notes that an urgent unit waits behind one of equal needs."""
-        priority = self._policy(unit.job).priority
-        if priority == 0:
-            self._memory.note_waiting(
-                unit, priority=priority, behind_equal_needs=True
-            )
+        if self._policy(unit.job).priority == 0:
+            self._memory.note_waiting(unit, behind_equal_needs=True)
 
     def _policy(self, job: JobEntry) -> QueuePolicy:
         """The policy in force for a job, or that of its acceptance."""
--- a/tests/site/test_explain.py
+++ b/tests/site/test_explain.py
@@ -61,8 +61,8 @@
     )
     assert explain(accepted, active) == (
         "cause: completed after 9.5 s, 1 of its units waited for room (the"
-        " first with 3 accelerators free), 1 runs were stopped for urgent"
-        " work, 1 starts were repeats"
+        " first with 3 accelerators free), 1 of its runs were stopped for"
+        " urgent work, 1 starts were repeats"
     )
 
 
@@ -95,3 +95,33 @@
     log = write_log(tmp_path / "n0.log", {"event": "instance.start"})
     result = CliRunner().invoke(program, ["explain", JOB, log])
     assert result.exit_code == 1
+
+
+def test_stops_of_others_and_a_slow_worker_are_told_apart(
+    tmp_path: Path,
+) -> None:
+    log = write_log(
+        tmp_path / "n0.log",
+        {"event": "job.accepted", "job": JOB},
+        {
+            "event": "run.stop",
+            "task": "d9033ba7d81bc3e4.0.0.2",
+            "cause": f"room for {TASK}",
+        },
+        {"event": "run.start", "task": TASK, "run": 1, "worker": "w1"},
+        {"event": "term.claimed", "term": 4},
+        {"event": "run.ended", "task": TASK, "run": 1, "worker": "w1"},
+        {
+            "event": "job.ended",
+            "job": JOB,
+            "state": "completed",
+            "age_s": 5.0,
+            "tasks": 1,
+            "starts": 1,
+        },
+    )
+    assert explain(log) == (
+        "cause: completed after 5.0 s, 1 takeovers while it was open (the"
+        " first 3.0 s after its first line), 1 runs of others were stopped"
+        " for it, its longest run took 2.0 s at w1"
+    )
