Failed try, reverted: slow workers told by the progress of their runs

Cause: urgent units stopped lent work elsewhere rather than use a slow worker, which costs batches more than the urgent ones gain; whether the judgement or the stops cost more was not told apart.

--- a/lagoonbeam/site/durations.py
+++ b/lagoonbeam/site/durations.py
@@ -35,12 +35,6 @@
         mean_s = self._means_s.get(queue, run_s)
         self._means_s[queue] = mean_s + WEIGHT * (run_s - mean_s)
 
-    def get_mean_s(self, unit: UnitState) -> float | None:
-        """Returns the mean run time of a unit's queue, if it was learned."""
-        if unit.spec.is_long_running:
-            return None
-        return self._means_s.get(unit.job.request.queue.name)
-
     def estimate_s(self, unit: UnitState) -> float:
         """Returns the expected run time of a unit at full speed."""
         queue = unit.job.request.queue.name
--- a/lagoonbeam/site/events.py
+++ b/lagoonbeam/site/events.py
@@ -41,8 +41,6 @@
     """A filling run got another share."""
     WORKER_QUARANTINED = "worker.quarantined"
     """A worker failed jobs that do well elsewhere."""
-    WORKER_SLOW = "worker.slow"
-    """A worker's runs take much longer than usual."""
     WORKER_LAPSED = "worker.lapsed"
     """A silent worker's leases are over."""
     WORKER_RESTARTED = "worker.restarted"
--- a/lagoonbeam/site/owner.py
+++ b/lagoonbeam/site/owner.py
@@ -51,6 +51,3 @@
 
     def is_wanted(self, task: TaskState) -> bool:
         """Whether a task's run should go on."""
-
-    def get_usual_run_s(self, task: TaskState) -> float | None:
-        """Returns the mean run time of tasks like it, if it was learned."""
--- a/lagoonbeam/site/planner.py
+++ b/lagoonbeam/site/planner.py
@@ -5,6 +5,7 @@
 import time
 from collections import defaultdict
 from collections.abc import Callable, Mapping
+from dataclasses import dataclass, field
 from itertools import chain
 
 from lagoonbeam.site.durations import Earning
@@ -13,11 +14,10 @@
 from lagoonbeam.site.eviction import find_eviction
 from lagoonbeam.site.guarantees import find_covered
 from lagoonbeam.site.lending import Lending
-from lagoonbeam.site.model import Configuration, QueuePolicy
+from lagoonbeam.site.model import Configuration, QueuePolicy, Step
 from lagoonbeam.site.ordering import UnitStanding
 from lagoonbeam.site.patience import Patience
 from lagoonbeam.site.placement import Assignment, place_unit
-from lagoonbeam.site.plan import Plan
 from lagoonbeam.site.plan_memory import PlanMemory
 from lagoonbeam.site.rooms import (
     Room,
@@ -38,14 +38,31 @@
 not pause for 50 ms."""
 
 
+@dataclass(slots=True)
+class Plan:
+    """What to do.
+
+    Attributes:
+        starts: Units and where their tasks go.
+        stops: Units to stop, each with the unit that needs the room.
+        lost_core_s: Core-seconds that the stops throw away.
+        is_cut_short: Whether units were left for the next plan.
+        short: Step of a unit that still earns and found no room, by service.
+    """
+
+    starts: list[tuple[UnitState, Assignment]] = field(default_factory=list)
+    stops: list[tuple[UnitState, UnitState]] = field(default_factory=list)
+    lost_core_s: float = 0.0
+    is_cut_short: bool = False
+    short: dict[str, Step] = field(default_factory=dict)
+
+
 def make_plan(
     memory: PlanMemory,
     state: SiteState,
     sessions: Mapping[str, WorkerSession],
     usable: Mapping[str, WorkerSession],
     configuration: Configuration,
-    *,
-    slow: frozenset[str] = frozenset(),
 ) -> Plan:
     """Decides what starts now.
 
@@ -55,10 +72,9 @@
         sessions: All workers' sessions by name.
         usable: Those that may get new runs.
         configuration: The configuration in force.
-        slow: Names of usable workers on which runs take much longer.
     """
     memory.drop_stale(state)
-    return _Pass(memory, state, sessions, usable, configuration, slow).run()
+    return _Pass(memory, state, sessions, usable, configuration).run()
 
 
 class _Pass:
@@ -71,9 +87,7 @@
         sessions: Mapping[str, WorkerSession],
         usable: Mapping[str, WorkerSession],
         configuration: Configuration,
-        slow: frozenset[str],
     ):
-        self._slow = slow
         self._memory = memory
         self._state = state
         self._sessions = sessions
@@ -247,29 +261,28 @@
             self._take(reserved.assignment, -1)
         allow_far = self._patience.may_be_far(unit, policy.service, usable)
         if not self._lending.may_hold(unit, policy):
-            unstoppable = self._lending.unstoppable[policy.service]
-            self._memory.note_waiting(unit, unstoppable=unstoppable)
+            self._memory.note_waiting(
+                unit,
+                priority=policy.priority,
+                unstoppable=self._lending.unstoppable[policy.service],
+            )
             return None
         rooms = self._choose_rooms(unit, policy)
         if policy.is_advised:
             rooms = self._limit_to_advised(unit, rooms)
-        avoided = self._memory.get_avoided(unit) | self._slow
+        avoided = self._memory.get_avoided(unit)
         if avoided:
             others = {n: room for n, room in rooms.items() if n not in avoided}
             assignment = self._place_in(unit, others, allow_far)
             if assignment is not None:
                 return assignment
-            if reserved is None and self._may_evict(unit, policy):
-                self._evict(unit, others, allow_far)
-        is_evicting = unit.key in self._memory.reserved
-        if not is_evicting:
-            assignment = self._place_in(unit, rooms, allow_far)
-            if assignment is not None:
-                return assignment
+        assignment = self._place_in(unit, rooms, allow_far)
+        if assignment is not None:
+            return assignment
         if reserved is not None:
             self._take(reserved.assignment, 1)
             self._memory.reserved[unit.key] = reserved
-        elif not is_evicting and self._may_evict(unit, policy):
+        elif self._may_evict(unit, policy):
             self._evict(unit, rooms if policy.is_advised else usable, allow_far)
         elif unit.spec.is_gang and self._get_earning(unit) is Earning.FULL:
             self._lending.keep_for(unit, policy, rooms)
--- a/lagoonbeam/site/scheduler.py
+++ b/lagoonbeam/site/scheduler.py
@@ -230,10 +230,6 @@
         self._memory.avoid(task.unit, worker)
         self._stop_unit(task.unit, f"stands still at {worker}")
 
-    def get_usual_run_s(self, task: TaskState) -> float | None:
-        """Returns the mean run time of tasks like it, if it was learned."""
-        return self._memory.durations.get_mean_s(task.unit)
-
     def is_wanted(self, task: TaskState) -> bool:
         """Whether a task's run should go on."""
         return task.unit.job.is_open
@@ -302,7 +298,6 @@
             self._fleet.sessions,
             usable,
             self._get_configuration(),
-            slow=frozenset(n for n, s in usable.items() if s.is_slow),
         )
         self._decisions.metrics.lost_core_s.inc(plan.lost_core_s)
         self._shortage.note(plan.short)
--- a/lagoonbeam/site/session.py
+++ b/lagoonbeam/site/session.py
@@ -28,8 +28,8 @@
 from lagoonbeam.site.owner import Owner
 from lagoonbeam.site.pacing import Pacer
 from lagoonbeam.site.ports import WorkerClient
+from lagoonbeam.site.progress import ProgressWatch
 from lagoonbeam.site.records import RunEnd
-from lagoonbeam.site.run_watch import RunWatch
 
 LOOK_WAIT_S = 1.0
 """Seconds one look waits for an end; a fraction of the shortest lease."""
@@ -39,6 +39,11 @@
 """Seconds one look waits while a start or stop is in doubt."""
 LOOK_RETRY_S = 0.2
 """Seconds between two looks at a worker that does not answer."""
+STALL_PAUSE_S = 3.0
+"""Seconds without new runs after a run stood still on a worker."""
+PATIENCE_S = 4.5
+"""Seconds of work or of standing still that a new start elsewhere is worth;
+most workers that stand still go on after five seconds or more."""
 LEAVING_S = 1.5
 """Seconds before its worker leaves at which a run that saves its progress is
 stopped, and by which others must overrun to be stopped at once."""
@@ -80,9 +85,8 @@
             report.worker, client, self._lease, owner, decisions
         )
         self._acknowledged = 0
-        self._watch_runs = RunWatch(
-            report.worker, owner, self.orders, decisions
-        )
+        self._progress = ProgressWatch()
+        self._stalled_s = float("-inf")
         self._reported_s = time.monotonic()
         self._pacer = Pacer()
         self._scope = anyio.CancelScope()
@@ -100,14 +104,9 @@
             and self.is_looked_at
             and not self.report.is_draining
             and self.failed_looks < UNREACHABLE_LOOKS
-            and not self._watch_runs.has_stalled
+            and time.monotonic() - self._stalled_s > STALL_PAUSE_S
         )
 
-    @property
-    def is_slow(self) -> bool:
-        """Whether runs take much longer here than elsewhere."""
-        return self._watch_runs.is_slow
-
     def take_report(self, report: WorkerReport) -> None:
         """Notes what the worker says of itself."""
         if report is not self.report:
@@ -268,7 +267,7 @@
 
     async def _take_view(self, view: WorkerView, sent_s: float) -> None:
         self.running = {task.task_id: task for task in view.running}
-        self._watch_runs.take(self.running)
+        self._take_progress()
         if not self.is_looked_at:
             self.is_looked_at = True
             self._owner.note_usable(self.worker)
@@ -331,6 +330,20 @@
                 outcome=outcome,
             )
 
+    def _take_progress(self) -> None:
+        """Notes which runs stand still, and stops those worth a new start."""
+        tasks = self._owner.state.tasks
+        for key, still_s in self._progress.find_stalled(self.running).items():
+            task = tasks.get(key)
+            if task is None or task.unit.spec.is_long_running:
+                continue
+            self._stalled_s = time.monotonic()
+            if (
+                still_s > PATIENCE_S
+                or self.orders.get_lost_s(task) < PATIENCE_S
+            ):
+                self._owner.note_stall(self.worker, task)
+
     async def _take_finished(self, view: WorkerView) -> None:
         new = [e for e in view.finished if e.number > self._acknowledged]
         if not new:
--- a/tests/site/test_planner.py
+++ b/tests/site/test_planner.py
@@ -10,9 +10,8 @@
 from lagoonbeam.site.model import End, Step
 from lagoonbeam.site.packing import FullestFirst
 from lagoonbeam.site.placement import place_unit
-from lagoonbeam.site.plan import Plan
 from lagoonbeam.site.plan_memory import PlanMemory
-from lagoonbeam.site.planner import make_plan
+from lagoonbeam.site.planner import Plan, make_plan
 from lagoonbeam.site.records import RunEnd, RunsEnded
 from lagoonbeam.site.rooms import make_room
 from lagoonbeam.site.state import SiteState
@@ -274,34 +273,3 @@
     memory = PlanMemory(decisions)
     make_plan(memory, state, sessions, sessions, make_configuration())
     assert told == ["a.0.0.0", "b.0.0.0"]
-
-
-def plan_beside_slow(state: SiteState, count: int, slow: str) -> Plan:
-    memory = PlanMemory(Decisions("n0", "z1", descriptor=2))
-    sessions = make_sessions(count)
-    return make_plan(
-        memory,
-        state,
-        sessions,
-        sessions,
-        make_configuration(),
-        slow=frozenset({slow}),
-    )
-
-
-def test_slow_worker_is_used_only_when_no_other_has_room() -> None:
-    state = SiteState()
-    for job_id in "ab":
-        accept(state, now_job(job_id, WHOLE, priority=0))
-    made = plan_beside_slow(state, 2, "w0")
-    assert workers_of(made) == ["w1", "w0"]
-
-
-def test_urgent_unit_takes_lent_room_rather_than_a_slow_worker() -> None:
-    state = SiteState()
-    (held,) = accept(state, now_job("a", WHOLE, priority=1))
-    place(state, held, "w1")
-    accept(state, now_job("b", WHOLE, priority=0))
-    made = plan_beside_slow(state, 2, "w0")
-    assert not made.starts
-    assert [victim.key for victim, _ in made.stops] == ["a.0.0.0"]
