A look that was not sent no longer shortens the lease of a start in doubt

Cause: in a cut a look that cannot connect undoes its own grant by putting back what it saved before; a start on an open connection, sent meanwhile and held up by the cut, had granted a later deadline, which was forgotten. The lease counted as lapsed at 39.9 s, the late start ran under its own deadline. Ruled out: the try that ran then (it starts and stops, but grants no leases). Change: a mark counts grants; it is put back only if no other came between.

--- a/lagoonbeam/site/lease.py
+++ b/lagoonbeam/site/lease.py
@@ -3,11 +3,25 @@
 from __future__ import annotations
 
 import time
+from dataclasses import dataclass
 
 SLOWEST_CLOCK = 0.98
 """Rate of the slowest worker clock, as the platform states."""
 
 
+@dataclass(frozen=True, slots=True)
+class LeaseMark:
+    """A lease at some time.
+
+    Attributes:
+        lapse_s: Own monotonic time by which all have surely lapsed.
+        grants: Grants made until then.
+    """
+
+    lapse_s: float
+    grants: int
+
+
 class Lease:
     """Everything that runs on a worker holds this lease.
 
@@ -22,6 +36,7 @@
         self._lapse_s = foreign_lapse_s
         self._worker_ms = 0
         self._read_s = 0.0
+        self._grants = 0
         self.has_clock = False
 
     @property
@@ -46,15 +61,24 @@
         passed_ms = int((time.monotonic() - self._read_s) * 1000)
         deadline_ms = self._worker_ms + passed_ms + int(self._lease_s * 1000)
         self._lapse_s = max(self._lapse_s, self._passes_s(deadline_ms))
+        self._grants += 1
         return deadline_ms
 
-    def save(self) -> float:
+    def save(self) -> LeaseMark:
         """Returns what `restore` takes to undo later grants."""
-        return self._lapse_s
+        return LeaseMark(self._lapse_s, self._grants)
+
+    def restore(self, mark: LeaseMark, *, own: int) -> None:
+        """Undoes grants that were never sent.
 
-    def restore(self, saved: float) -> None:
-        """Undoes grants that were never sent."""
-        self._lapse_s = saved
+        Grants that others made since are kept, and all with them.
+
+        Args:
+            mark: What `save` returned before.
+            own: Grants since then that were never sent.
+        """
+        if self._grants == mark.grants + own:
+            self._lapse_s = mark.lapse_s
 
     def _passes_s(self, worker_ms: float) -> float:
         """Own monotonic time by which the worker's clock shows a time."""
--- a/lagoonbeam/site/session.py
+++ b/lagoonbeam/site/session.py
@@ -186,7 +186,7 @@
         if self._pacer.is_needed(self.running.values(), self._get_step):
             wait_s = min(wait_s, PACED_WAIT_S)
         renews = self._may_renew()
-        saved = self._lease.save()
+        mark = self._lease.save()
         try:
             view = await self._client.look(
                 token=self._owner.token,
@@ -199,7 +199,7 @@
             return
         except LagoonbeamError as error:
             if isinstance(error, ServerUnreachableError):
-                self._lease.restore(saved)
+                self._lease.restore(mark, own=int(renews))
             await self._miss(error)
             return
         if self.failed_looks >= UNREACHABLE_LOOKS:
