A cancelled job is told as cancelled by the interface that cancelled it

Cause: the answer came from the instance's copy, which folds its own records at once only if no other instance's lie before them. Change: the copy catches up before the answer. Test fails on the old code.

--- a/lagoonbeam/site/interface.py
+++ b/lagoonbeam/site/interface.py
@@ -185,6 +185,7 @@
     async def _cancel_job(self, request: Request, job_id: str) -> Response:
         await self._find(request, job_id)
         await self._service.cancel(job_id, timeout_s=SUBMIT_TIMEOUT_S)
+        await self._service.catch_up()
         return await self._tell(await self._service.get_job(job_id), 0.0)
 
     async def _list_jobs(self, request: Request, _: str) -> Response:
--- a/lagoonbeam/site/service.py
+++ b/lagoonbeam/site/service.py
@@ -218,6 +218,10 @@
             Event.REQUEST_BROKEN, target=target, cause=repr(error)
         )
 
+    async def catch_up(self) -> None:
+        """Brings the copy up to what is stored now, if the store answers."""
+        await self._follower.catch_up(CATCH_UP_S)
+
     async def wait_change(self) -> None:
         """Waits until the copy may have changed."""
         await self._follower.wait_change()
--- a/tests/site/test_interface.py
+++ b/tests/site/test_interface.py
@@ -16,7 +16,14 @@
 from lagoonbeam.site.journal import JournalFollower
 from lagoonbeam.site.model import Configuration, End, Organisation
 from lagoonbeam.site.ports import Writer
-from lagoonbeam.site.records import Placement, RunEnd, RunsEnded, RunsPlaced
+from lagoonbeam.site.records import (
+    Placement,
+    RunEnd,
+    RunsEnded,
+    RunsPlaced,
+    TermRenewed,
+    encode_record,
+)
 from lagoonbeam.site.service import JobService
 from tests.site.builders import make_configuration
 from tests.site.test_journal import FakeStore
@@ -163,6 +170,16 @@
     play(scenario)
 
 
+def test_cancelled_job_says_so_though_others_wrote_before() -> None:
+    async def scenario(scene: Scene) -> None:
+        answer = await scene.submit()
+        scene.store.records.append(encode_record(TermRenewed(1)))
+        response = await scene.call("DELETE", f"/v1/jobs/{answer['job_id']}")
+        assert json.loads(response.body)["outcome"] == "cancelled"
+
+    play(scenario)
+
+
 @pytest.mark.parametrize(
     ("method", "target", "body", "expected"),
     [
