Ports of tests are clear of the kernel's; the harness's processes have one base

Cause, from that run's logs: z2-1's entry ended at once, 'Address already in use' on 39671. find_ports asked the kernel for free ports and gave them back; the relay's route for z1-1 was then given that port by the kernel before the entry bound it. Ruled out: a slow start (the process had ended; its log says so). Change: ports come from below the kernel's range and are claimed for the life of the process that chose them (harness/ports.py); Cluster and Site share harness/processes.py, whose time-out names processes that have ended.

--- a/harness/cluster.py
+++ b/harness/cluster.py
@@ -1,17 +1,12 @@
 """Starts a whole system on loopback: stand-ins, entries and schedulers.
 
-The processes are started and ended by the test that owns the cluster; each
-is ended by its own process id.
+The processes are started and ended by the test that owns the cluster.
 """
 
 from __future__ import annotations
 
 import contextlib
-import os
 import signal
-import socket
-import subprocess
-import sys
 import time
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -20,20 +15,10 @@
 import httpx
 import yaml
 
-START_TIMEOUT_S = 30.0
-OPERATOR_TOKEN = "operator-token"
-
+from harness.ports import find_ports
+from harness.processes import START_TIMEOUT_S, Processes
 
-def find_ports(count: int) -> list[int]:
-    """Returns free TCP ports of loopback."""
-    sockets = [socket.socket() for _ in range(count)]
-    try:
-        for each in sockets:
-            each.bind(("127.0.0.1", 0))
-        return [each.getsockname()[1] for each in sockets]
-    finally:
-        for each in sockets:
-            each.close()
+OPERATOR_TOKEN = "operator-token"
 
 
 @dataclass
@@ -76,7 +61,7 @@
         return f"http://127.0.0.1:{self.entry_port}"
 
 
-class Cluster:
+class Cluster(Processes):
     """Runs the processes of a plan.
 
     Args:
@@ -85,44 +70,33 @@
     """
 
     def __init__(self, plan: Plan, folder: Path):
+        super().__init__(folder, timeout_s=10.0)
         self.plan = plan
-        self.folder = folder
-        self.processes: dict[str, subprocess.Popen[bytes]] = {}
         self.instances: dict[str, Instance] = {}
         self.worker_urls: dict[str, str] = {}
         self.hidden: set[str] = set()
         self.worker_hosts: list[str] = []
-        self.client = httpx.Client(timeout=10.0, trust_env=False)
         self.log_port, self.list_port, self.relay_port = find_ports(3)
         self.list_url = f"http://127.0.0.1:{self.list_port}"
         self.log_url = f"http://127.0.0.1:{self.log_port}"
         self.relay_url = f"http://127.0.0.1:{self.relay_port}"
 
-    def __enter__(self) -> Cluster:
-        try:
-            self.start()
-        except BaseException:
-            self.close()
-            raise
-        return self
-
-    def __exit__(self, *error: object) -> None:
-        self.close()
-
     def start(self) -> None:
         """Starts everything and waits until every zone is served."""
-        self._run("log", "standins.log", "--port", str(self.log_port))
-        self._run("list", "standins.instances", "--port", str(self.list_port))
+        self.run("log", "-m", "standins.log", "--port", str(self.log_port))
+        self.run(
+            "list", "-m", "standins.instances", "--port", str(self.list_port)
+        )
         if self.plan.relayed:
             port = str(self.relay_port)
-            self._run("relay", "standins.relay", "--port", port)
-            self._wait_http(f"{self.relay_url}/routes")
-        self._wait_http(f"{self.list_url}/views/all/instances")
-        self._wait_http(f"{self.log_url}/counters")
+            self.run("relay", "-m", "standins.relay", "--port", port)
+            self.wait_http(f"{self.relay_url}/routes")
+        self.wait_http(f"{self.list_url}/views/all/instances")
+        self.wait_http(f"{self.log_url}/counters")
         for zone in self.plan.zones:
             self._start_workers(zone)
         for host in self.worker_hosts:
-            self._wait_http(f"{host}/history")
+            self.wait_http(f"{host}/history")
         names = [
             (f"{zone}-{number}", zone)
             for zone in self.plan.zones
@@ -138,7 +112,7 @@
         for name in self.instances:
             self.start_instance(name)
         for name in self.instances:
-            self._wait_http(f"{self.instances[name].url}/v1/ready")
+            self.wait_http(f"{self.instances[name].url}/v1/ready")
         self.wait_served()
 
     def start_instance(self, name: str, **scheduler: Any) -> None:
@@ -187,7 +161,7 @@
         for program in ("scheduler", "entry"):
             settings = str(self.folder / f"{name}-{program}.yaml")
             module = f"lagoonbeam.commands.{program}"
-            self._run(f"{name}-{program}", module, "--settings", settings)
+            self.run(f"{name}-{program}", "-m", module, "--settings", settings)
 
     def add_instance(
         self, name: str, zone: str, entry_port: int, scheduler_port: int
@@ -207,10 +181,6 @@
         found = self.instances.values()
         return [each.name for each in found if each.zone == zone]
 
-    def is_running(self, process: str) -> bool:
-        """Returns whether a process runs."""
-        return self.processes[process].poll() is None
-
     def remove_instance(self, name: str) -> None:
         """Takes an instance that has ended off the list."""
         del self.instances[name]
@@ -226,7 +196,7 @@
 
     def kill(self, process: str, number: int = signal.SIGKILL) -> None:
         """Signals one process, by its id."""
-        self.processes[process].send_signal(number)
+        self.signal(process, number)
 
     def kill_instance(self, name: str) -> None:
         """Ends both programs of an instance at once."""
@@ -302,15 +272,6 @@
         ]
         return sorted(events, key=lambda event: event["at_s"])
 
-    def close(self) -> None:
-        """Ends all processes."""
-        for process in self.processes.values():
-            if process.poll() is None:
-                process.kill()
-        for process in self.processes.values():
-            process.wait()
-        self.client.close()
-
     def _start_workers(self, zone: str) -> None:
         names = [f"{zone}-w{index}" for index in range(self.plan.workers)]
         size = self.plan.per_process
@@ -319,8 +280,9 @@
             (port,) = find_ports(1)
             host = f"http://127.0.0.1:{port}"
             self.worker_hosts.append(host)
-            self._run(
+            self.run(
                 f"workers-{group[0]}",
+                "-m",
                 "standins.worker",
                 "--port",
                 str(port),
@@ -394,22 +356,3 @@
 
     def _write(self, name: str, settings: dict[str, Any]) -> None:
         (self.folder / f"{name}.yaml").write_text(yaml.safe_dump(settings))
-
-    def _run(self, name: str, module: str, *arguments: str) -> None:
-        with (self.folder / f"{name}.log").open("ab") as output:
-            self.processes[name] = subprocess.Popen(
-                [sys.executable, "-m", module, *arguments],
-                stdout=output,
-                stderr=output,
-                env={**os.environ, "PYTHONUNBUFFERED": "1"},
-            )
-
-    def _wait_http(self, url: str) -> None:
-        deadline_s = time.monotonic() + START_TIMEOUT_S
-        while True:
-            with contextlib.suppress(httpx.HTTPError):
-                if self.client.get(url).is_success:
-                    return
-            if time.monotonic() > deadline_s:
-                raise TimeoutError(f"{url} does not answer")
-            time.sleep(0.05)
--- a/harness/demo.py
+++ b/harness/demo.py
@@ -24,7 +24,8 @@
 
 from harness.callers import Callers, Request, finish_refused, make_request
 from harness.checker import Verdict, judge_run
-from harness.cluster import OPERATOR_TOKEN, Cluster, Plan, find_ports
+from harness.cluster import OPERATOR_TOKEN, Cluster, Plan
+from harness.ports import find_ports
 from lagoonbeam.core.rules import encode_rules
 from lagoonbeam.rules import RulesBuilder
 
--- a/harness/site.py
+++ b/harness/site.py
@@ -1,17 +1,10 @@
-"""Starts a whole site on loopback: the platform's stand-ins and instances.
-
-Each process is ended by its own process id.
-"""
+"""Starts a whole site on loopback: the platform's stand-ins and instances."""
 
 from __future__ import annotations
 
 import base64
 import json
-import os
 import secrets
-import signal
-import subprocess
-import sys
 import time
 from dataclasses import dataclass
 from pathlib import Path
@@ -19,10 +12,9 @@
 
 import httpx
 
-from harness.cluster import find_ports
+from harness.ports import find_ports
+from harness.processes import ROOT, Processes
 
-ROOT = Path(__file__).resolve().parent.parent
-START_TIMEOUT_S = 30.0
 KEY = "key-of-armor"
 HOST = "jobs.example"
 LEASE_MS = 4_000
@@ -90,7 +82,7 @@
     return {"count": count, "cpu": 1000, "mem_mb": 100, "gpu": gpu, **fields}
 
 
-class Site:
+class Site(Processes):
     """Runs the processes of a plan.
 
     Args:
@@ -99,10 +91,8 @@
     """
 
     def __init__(self, plan: SitePlan, folder: Path):
+        super().__init__(folder, timeout_s=5.0)
         self.plan = plan
-        self.folder = folder
-        self.processes: dict[str, subprocess.Popen[bytes]] = {}
-        self.client = httpx.Client(timeout=5.0, trust_env=False)
         ports = find_ports(7)
         self.metrics_port = ports.pop()
         self.store_port, self.worker_port, self.relay_port = ports[:3]
@@ -110,28 +100,17 @@
         self.store = f"http://127.0.0.1:{self.store_port}"
         self.names = [f"n{number}" for number in range(plan.instances)]
 
-    def __enter__(self) -> Site:
-        try:
-            self.start()
-        except BaseException:
-            self.close()
-            raise
-        return self
-
-    def __exit__(self, *error: object) -> None:
-        self.close()
-
     def start(self) -> None:
         """Starts everything and waits until every instance is ready."""
         port = str(self.store_port)
-        self._run("store", "-m", "standins.platform_store", "--port", port)
-        self._wait(f"{self.store}/standin/counters")
+        self.run("store", "-m", "standins.platform_store", "--port", port)
+        self.wait_http(f"{self.store}/standin/counters")
         if self.plan.is_relayed:
             port = str(self.relay_port)
-            self._run("relay", "-m", "standins.relay", "--port", port)
-            self._wait(f"http://127.0.0.1:{self.relay_port}/routes")
+            self.run("relay", "-m", "standins.relay", "--port", port)
+            self.wait_http(f"http://127.0.0.1:{self.relay_port}/routes")
         self.publish(make_configuration(1))
-        self._run(
+        self.run(
             "workers",
             "-m",
             "standins.platform_worker",
@@ -140,21 +119,12 @@
             *("--rack", str(self.plan.rack)),
             *("--spare", str(self.plan.spare)),
         )
-        self._wait(f"http://127.0.3.1:{self.worker_port}/standin/history")
+        self.wait_http(f"http://127.0.3.1:{self.worker_port}/standin/history")
         for name in self.names:
             self.start_instance(name)
         for name in self.names:
             self.wait_ready(name)
 
-    def close(self) -> None:
-        """Ends all processes."""
-        for process in self.processes.values():
-            process.send_signal(signal.SIGCONT)
-            process.kill()
-        for process in self.processes.values():
-            process.wait()
-        self.client.close()
-
     def publish(self, configuration: dict[str, Any]) -> None:
         """Publishes a configuration."""
         self.client.post(
@@ -200,7 +170,7 @@
         """Starts one instance."""
         settings = self.folder / f"{name}.yaml"
         settings.write_text(json.dumps(self._make_settings(name)))
-        self._run(
+        self.run(
             name,
             str(ROOT / "platform" / "start.py"),
             LAGOONBEAM_BOOT=str(settings),
@@ -209,7 +179,7 @@
 
     def wait_ready(self, name: str) -> None:
         """Waits until an instance takes callers."""
-        self._wait(f"http://{self.host(name)}:{self.ready_port}/ready")
+        self.wait_http(f"http://{self.host(name)}:{self.ready_port}/ready")
 
     def host(self, name: str) -> str:
         """Returns an instance's IP number."""
@@ -220,10 +190,6 @@
         self.processes[name].kill()
         self.processes[name].wait()
 
-    def signal(self, name: str, number: int) -> None:
-        """Sends a process a signal."""
-        self.processes[name].send_signal(number)
-
     def call(
         self,
         method: str,
@@ -367,24 +333,3 @@
         )
         port: int = response.json()["port"]
         return port
-
-    def _run(self, name: str, *arguments: str, **variables: str) -> None:
-        log = (self.folder / f"{name}.log").open("ab")
-        self.processes[name] = subprocess.Popen(
-            [sys.executable, *arguments],
-            cwd=ROOT,
-            env={**os.environ, **variables},
-            stdout=log,
-            stderr=subprocess.STDOUT,
-        )
-
-    def _wait(self, url: str) -> None:
-        ends_s = time.monotonic() + START_TIMEOUT_S
-        while time.monotonic() < ends_s:
-            try:
-                if self.client.get(url).status_code == 200:
-                    return
-            except httpx.HTTPError:
-                pass
-            time.sleep(0.05)
-        raise TimeoutError(f"{url} did not answer")
--- a/harness/soak.py
+++ b/harness/soak.py
@@ -26,7 +26,8 @@
 
 from harness.callers import Callers, Request, finish_refused, make_request
 from harness.checker import Verdict, judge_run
-from harness.cluster import Cluster, Plan, find_ports
+from harness.cluster import Cluster, Plan
+from harness.ports import find_ports
 
 ZONES = ["z1", "z2", "z3"]
 ORGANISATIONS = ["armor", "kiosks", "vestnes", "netmakers"]
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -60,14 +60,19 @@
         yield running
 
 
-def pytest_collection_modifyitems(items: list[pytest.Item]) -> None:
-    """Runs what KNOWN-RED.txt lists, and passes over its failure."""
-    lines = (Path(__file__).parent.parent / "KNOWN-RED.txt").read_text()
-    listed = {
+def read_known_red(text: str) -> set[str]:
+    """Returns the tests that a list of known failures names."""
+    return {
         line.partition("|")[0].strip()
-        for line in lines.splitlines()
+        for line in text.splitlines()
         if line.strip() and not line.startswith("#")
     }
+
+
+def pytest_collection_modifyitems(items: list[pytest.Item]) -> None:
+    """Runs what KNOWN-RED.txt lists, and passes over its failure."""
+    path = Path(__file__).parent.parent / "KNOWN-RED.txt"
+    listed = read_known_red(path.read_text())
     for item in items:
         if item.nodeid in listed:
             item.add_marker(pytest.mark.xfail(reason="KNOWN-RED.txt"))
--- a/tests/site/test_journal.py
+++ b/tests/site/test_journal.py
@@ -32,6 +32,7 @@
         self.last: dict[str, tuple[int, int]] = {}
         self.failures: list[LagoonbeamError] = []
         self.is_silent = False
+        self.snapshot: Snapshot | None = None
 
     async def append(
         self,
@@ -84,10 +85,10 @@
         )
 
     async def load_snapshot(self) -> Snapshot | None:
-        return None
+        return self.snapshot
 
     async def save_snapshot(self, snapshot: Snapshot) -> None:
-        raise NotImplementedError
+        self.snapshot = snapshot
 
 
 Test = Callable[[FakeStore, JournalFollower, JournalAppender], Awaitable[None]]
--- a/tests/site/test_relay.py
+++ b/tests/site/test_relay.py
@@ -5,7 +5,7 @@
 import anyio
 import pytest
 
-from harness.cluster import find_ports
+from harness.ports import find_ports
 from lagoonbeam.core.http11 import Response
 from lagoonbeam.core.http_server import HttpServer, Request
 from lagoonbeam.errors import (
--- a/tests/test_promises.py
+++ b/tests/test_promises.py
@@ -18,7 +18,8 @@
 
 from harness.callers import Callers, Request, finish_refused, make_request
 from harness.checker import judge_run
-from harness.cluster import Cluster, Plan, find_ports
+from harness.cluster import Cluster, Plan
+from harness.ports import find_ports
 from tests.conftest import FAST, make_job, make_rules
 
 scenarios("features/promises.feature")
