--- a/benchmarks/bench.py
+++ b/benchmarks/bench.py
@@ -18,8 +18,9 @@
 
 from benchmarks.cases import run_cases
 from benchmarks.fleets import ARMOR, VESTNES
+from benchmarks.measures import measure
 from benchmarks.scenes import SCENES
-from benchmarks.simulation import POLICIES, Simulation, measure
+from benchmarks.simulation import POLICIES, Simulation
 from lagoonbeam.errors import LagoonbeamError
 
 FLEETS = {fleet.name: fleet for fleet in (ARMOR, VESTNES)}
--- a/benchmarks/site_bench.py
+++ b/benchmarks/site_bench.py
@@ -15,8 +15,9 @@
 from rich.table import Table
 
 from benchmarks.cases import run_cases
+from benchmarks.site_measures import measure
 from benchmarks.site_scenes import ARMOR, SCENES, TAUVERK
-from benchmarks.site_simulation import SiteSimulation, measure
+from benchmarks.site_simulation import SiteSimulation
 from lagoonbeam.site.policies import PolicyNames
 
 FLEETS = {fleet.name: fleet for fleet in (ARMOR, TAUVERK)}
--- a/tests/test_promises.py
+++ b/tests/test_promises.py
@@ -9,8 +9,6 @@
 import threading
 import time
 from collections.abc import Iterator
-from dataclasses import dataclass, field
-from typing import Any
 
 import httpx
 import pytest
@@ -21,59 +19,14 @@
 from harness.cluster import Cluster, Plan
 from harness.ports import find_ports
 from tests.conftest import FAST, make_job, make_rules
+from tests.promises_story import TOKEN, Story
 
 scenarios("features/promises.feature")
 
 ZONES = ["z1", "z2"]
-TOKEN = "token-armor"
 SETTINGS = {**FAST, "append_timeout_s": 2.0}
 
 
-@dataclass
-class Story:
-    """What a scenario remembers."""
-
-    cluster: Cluster
-    answers: list[dict[str, Any]] = field(default_factory=list)
-    caller: threading.Thread | None = None
-    new: str = ""
-    key: int = 0
-    requests: list[Request] = field(default_factory=list)
-    version: int = 0
-    worker: str = ""
-    since_s: float = 0.0
-
-    def submit(self, *, zone: str = "z1", **fields: Any) -> httpx.Response:
-        """Sends a job to an entry of a zone, with a new key."""
-        self.key += 1
-        name = self.cluster.list_zone(zone)[0]
-        return self.cluster.call(
-            "POST",
-            "/v1/jobs?wait_s=20",
-            instance=name,
-            token=TOKEN,
-            json=make_job(**fields),
-            headers={"idempotency-key": f"k{self.key}"},
-            timeout=30,
-        )
-
-    def wait_for(self, what: Any, within_s: float) -> None:
-        deadline_s = time.monotonic() + within_s
-        while not what():
-            assert time.monotonic() < deadline_s, f"not within {within_s} s"
-            time.sleep(0.05)
-
-    def list_own_active(self, zone: str) -> list[str]:
-        """Returns the instances of a zone that call themselves active."""
-        found = []
-        for name in self.cluster.list_zone(zone):
-            reply = self.cluster.call("GET", "/v1/instances", instance=name)
-            own = reply.json()["instances"][0]
-            if own["active"] and own["instance"] == name:
-                found.append(name)
-        return found
-
-
 @pytest.fixture
 def story(tmp_path_factory: pytest.TempPathFactory) -> Iterator[Story]:
     plan = Plan(
