--- a/lagoonbeam/core/planner.py
+++ b/lagoonbeam/core/planner.py
@@ -9,11 +9,12 @@
 
 import collections
 import heapq
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
 from lagoonbeam.core.capacity import find_fault
 from lagoonbeam.core.cells import LEVELS, Cell, get_level
+from lagoonbeam.core.choosing import PlaceChooser
 from lagoonbeam.core.claims import adopt_claims, release_claims, take_claims
 from lagoonbeam.core.estimates import RunTimeEstimator
 from lagoonbeam.core.jobs import Job
@@ -26,24 +27,18 @@
 from lagoonbeam.core.reservation import Reservations
 from lagoonbeam.core.rules import PolicyChoice, RulesDocument
 from lagoonbeam.core.urgency import UrgentShare
-from lagoonbeam.core.victims import find_own_victim, place_over_lent
 from lagoonbeam.errors import (
     CellError,
     ImpossibleShapeError,
     InvariantError,
 )
 from lagoonbeam.ordering import ORDERINGS, Candidate, OrderingPolicy, Route
-from lagoonbeam.placement import PLACEMENTS, PlacementPolicy, Reach
-from lagoonbeam.preemption import PREEMPTIONS, PreemptionPolicy
+from lagoonbeam.placement import PLACEMENTS, Reach
+from lagoonbeam.preemption import PREEMPTIONS
 from lagoonbeam.types import JobId, OrganisationName, WorkerName, ZoneName
 
 LAUNCH_MARGIN_S = 0.25
 """Time that a launch may take; a job is placed so much before its deadline."""
-GUARD_AFTER_S = 60.0
-"""Wait after which a job keeps its organisation's guarantee for itself."""
-RECLAIM_AFTER_S = {"urgent": 0.0, "normal": 30.0, "batch": 120.0}
-"""Wait for free cells, by urgency, before lent work is stopped for a job's
-guarantee; slots often become free sooner than what a stopped gang loses."""
 
 
 @dataclass(frozen=True)
@@ -107,22 +102,26 @@
         self._waiting: dict[JobId, PlannedJob] = {}
         self._promised: dict[JobId, None] = {}
         self._displaced: list[PlannedJob] = []
-        self._nudged: dict[JobId, JobId] = {}
-        self._guards: dict[OrganisationName, JobId] = {}
         self._deadlines: list[tuple[float, JobId]] = []
-        self._due: list[tuple[float, OrganisationName]] = []
         self._ready: list[Decision] = []
         self._victims: dict[JobId, set[JobId]] = collections.defaultdict(set)
         self._reservations = Reservations()
         self._ordering: OrderingPolicy = ORDERINGS.get(
             self._policies.ordering
         )()
-        self._placement: PlacementPolicy = PLACEMENTS.get(
-            self._policies.placement
-        )()
-        self._preemption: PreemptionPolicy = PREEMPTIONS.get(
-            self._policies.preemption
-        )(self.jobs.__getitem__, now)
+        self._chooser = PlaceChooser(
+            jobs=self.jobs,
+            waiting=self._waiting,
+            promised=self._promised,
+            reservations=self._reservations,
+            urgent=self._urgent,
+            now=now,
+            stop=self._stop,
+            placement=PLACEMENTS.get(self._policies.placement)(),
+            preemption=PREEMPTIONS.get(self._policies.preemption)(
+                self.jobs.__getitem__, now
+            ),
+        )
 
     @property
     def free_slots(self) -> int:
@@ -304,7 +303,8 @@
         Raises:
             GuaranteeViolatedError: If a decision broke a guarantee.
         """
-        self._reopen_due()
+        for organisation in self._chooser.take_due():
+            self._ordering.reopen(organisation)
         self._start_reserved()
         self._ordering.urgent_first = self._urgent.is_open
         for candidate in self._ordering.iterate():
@@ -369,9 +369,9 @@
             for planned in self._waiting.values():
                 self._ordering.add(planned)
         if choice.placement != self._policies.placement:
-            self._placement = PLACEMENTS.get(choice.placement)()
+            self._chooser.placement = PLACEMENTS.get(choice.placement)()
         if choice.preemption != self._policies.preemption:
-            self._preemption = PREEMPTIONS.get(choice.preemption)(
+            self._chooser.preemption = PREEMPTIONS.get(choice.preemption)(
                 self.jobs.__getitem__, self._now
             )
         self._policies = choice
@@ -392,8 +392,8 @@
         planned = PlannedJob(job, self._now())
         for pool in self._list_pools(job):
             for placement in (
-                self._reach(pool, planned, Reach.IDLE),
-                self._placement.place_free(pool, planned, pool.free),
+                self._chooser.reach(pool, planned, Reach.IDLE),
+                self._chooser.placement.place_free(pool, planned, pool.free),
             ):
                 if placement is None:
                     continue
@@ -418,7 +418,7 @@
 
     def _dequeue(self, planned: PlannedJob) -> None:
         del self._waiting[planned.job.job_id]
-        self._nudged.pop(planned.job.job_id, None)
+        self._chooser.forget(planned.job.job_id)
         self._count_queued(planned, -1)
 
     def _count_queued(self, planned: PlannedJob, sign: int) -> None:
@@ -460,9 +460,9 @@
         planned = candidate.planned
         for pool in self._list_pools(planned.job):
             if candidate.route is Route.GUARANTEED:
-                placement = self._place_guaranteed(pool, planned)
+                placement = self._chooser.place_guaranteed(pool, planned)
             else:
-                placement = self._place_free(pool, planned)
+                placement = self._chooser.place_free(pool, planned)
             if placement is None or self._would_loop(pool, placement):
                 continue
             try:
@@ -528,133 +528,6 @@
         self._ordering.take(planned)
         self.counters.decisions += 1
 
-    def _place_guaranteed(
-        self, pool: Pool, planned: PlannedJob
-    ) -> Placement | None:
-        """Places work on its guarantee.
-
-        Idle cells that are bound already go first. Work that may be stopped
-        then takes free cells, which leaves whole workers unbound. Others are
-        reclaimed last.
-        """
-        name = planned.job.organisation
-        if not pool.book.has_promise(name):
-            return None
-        if self._is_guarded(planned):
-            return None
-        placement = self._reach(pool, planned, Reach.BOUND)
-        if placement is None and planned.job.stoppable:
-            placement = self._placement.place_free(pool, planned, pool.free)
-        elif placement is None:
-            placement = self._reach(pool, planned, Reach.IDLE)
-        if placement is None and self._is_out_of_patience(planned):
-            placement = self._choose_cheaper(
-                pool,
-                self._reach(pool, planned, Reach.ANY),
-                self._place_urgent(pool, planned),
-            )
-        if placement is None and planned.key.urgent:
-            self._nudge(pool, planned)
-        elif placement is None and self._is_starving(planned):
-            self._guards.setdefault(name, planned.job.job_id)
-        return placement
-
-    def _reach(
-        self, pool: Pool, planned: PlannedJob, reach: Reach
-    ) -> Placement | None:
-        return self._placement.place_guaranteed(
-            pool, planned, self._preemption, reach=reach
-        )
-
-    def _choose_cheaper(
-        self, pool: Pool, first: Placement | None, second: Placement | None
-    ) -> Placement | None:
-        """Returns the placement whose victims lose the least."""
-        found = [each for each in (first, second) if each is not None]
-        return min(
-            found,
-            key=lambda each: self._preemption.weigh(
-                set().union(*map(pool.list_occupants, each.cells))
-            ),
-            default=None,
-        )
-
-    def _is_starving(self, planned: PlannedJob) -> bool:
-        return self._now() - planned.queued_at_s > GUARD_AFTER_S
-
-    def _is_guarded(self, planned: PlannedJob) -> bool:
-        """Whether a starving job of the organisation keeps its guarantee.
-
-        Without this, small work that comes all the time would never leave
-        room for a large job on the same guarantee.
-        """
-        name = planned.job.organisation
-        guard = self._guards.get(name)
-        if guard is not None and guard not in self._waiting:
-            del self._guards[name]
-            guard = None
-        return (
-            guard not in (None, planned.job.job_id) and not planned.key.urgent
-        )
-
-    def _is_out_of_patience(self, planned: PlannedJob) -> bool:
-        """Whether a job has waited long enough to reclaim its guarantee."""
-        patience_s = RECLAIM_AFTER_S[planned.job.urgency or "normal"]
-        due_s = planned.queued_at_s + patience_s
-        if self._now() >= due_s:
-            return True
-        heapq.heappush(self._due, (due_s, planned.job.organisation))
-        return False
-
-    def _reopen_due(self) -> None:
-        """Offers guarantees again to jobs that have waited long enough."""
-        while self._due and self._due[0][0] <= self._now():
-            _, organisation = heapq.heappop(self._due)
-            self._ordering.reopen(organisation)
-
-    def _nudge(self, pool: Pool, planned: PlannedJob) -> None:
-        """Stops less urgent work on the same organisation's guarantee.
-
-        The cells are not promised: the urgent job is the first that its
-        organisation's guarantee is offered to once they are free.
-        """
-        if self._nudged.get(planned.job.job_id) in self.jobs:
-            return
-        running = self._iterate_running()
-        victim = find_own_victim(pool, planned, running, self._preemption)
-        if victim is not None:
-            self._nudged[planned.job.job_id] = victim.job.job_id
-            self._stop(victim, "own urgent work")
-
-    def _place_free(self, pool: Pool, planned: PlannedJob) -> Placement | None:
-        reservation = self._reservations.current
-        placement = self._placement.place_free(pool, planned, pool.free)
-        if placement is None and reservation and reservation.pool is pool:
-            end_s = self._now() + planned.estimated_run_s
-            if end_s <= reservation.start_s:
-                placement = self._placement.place_free(pool, planned, pool.held)
-        return placement or self._place_urgent(pool, planned)
-
-    def _place_urgent(
-        self, pool: Pool, planned: PlannedJob
-    ) -> Placement | None:
-        """Places urgent work over lent work, within the share it may have."""
-        if not planned.key.urgent or not self._urgent.has_room(planned):
-            return None
-        running = self._iterate_running()
-        return place_over_lent(pool, planned, running, self._preemption)
-
-    def _iterate_running(self) -> Iterator[PlannedJob]:
-        """Yields the jobs that run and have not been told to stop."""
-        return (
-            planned
-            for planned in self.jobs.values()
-            if planned.started_at_s
-            and planned.placement is not None
-            and planned.job.job_id not in self._promised
-            and not planned.stopping
-        )
-
     def _commit(
         self, pool: Pool, planned: PlannedJob, placement: Placement
     ) -> None:
