The zone planner keeps one job: it decides

Cause: core/planner.py (595 lines) still kept the queue's sums and deadlines, who has cells, the two pools and the check of shapes beside its decisions. Change: backlog.py, occupancy.py, pools.py and capacity.py take these over; planner.py is 394 lines. Counters that nobody read are gone. The mutation about forgotten jobs names the new guard.

--- a/benchmarks/simulation.py
+++ b/benchmarks/simulation.py
@@ -15,8 +15,9 @@
     Scene,
 )
 from lagoonbeam.core.health import HealthTracker
+from lagoonbeam.core.occupancy import Start, Stop
 from lagoonbeam.core.planned import PlannedJob, Standing
-from lagoonbeam.core.planner import Planner, Start, Stop
+from lagoonbeam.core.planner import Planner
 from lagoonbeam.core.pool import WorkerHealth
 from lagoonbeam.core.routing import ZoneView, choose_zone
 from lagoonbeam.core.rules import PolicyChoice
@@ -133,11 +134,11 @@
         job = arrival.job
         views = []
         for zone, planner in self.planners.items():
-            book = planner.pools[0].book
+            book = planner.pools.accelerated.book
             views.append(
                 ZoneView(
                     zone=zone,
-                    free_slots=planner.free_slots,
+                    free_slots=planner.pools.free_slots,
                     expected_wait_s=planner.estimate_wait_s(),
                     guaranteed=book.has_promise(job.organisation),
                 )
@@ -178,7 +179,7 @@
             except InvariantError:
                 self.tally.violations += 1
                 continue
-            self.tally.shortfalls += planner.shortfall_slots > 0
+            self.tally.shortfalls += planner.pools.shortfall_slots > 0
             for decision in decisions:
                 if isinstance(decision, Start):
                     self._start(zone, decision)
@@ -205,7 +206,7 @@
         self._runs[job_id] += 1
         number = self._runs[job_id]
         left_s = record.arrival.run_s - planned.done_s
-        pool = planner.get_pool(accelerated=placement.accelerated)
+        pool = planner.pools.get(accelerated=placement.accelerated)
         workers = {pool.get_worker(c).shape.worker for c in placement.cells}
         failing = {
             name
@@ -268,7 +269,7 @@
         planner = self.planners[zone]
         placement = planned.placement
         assert placement is not None
-        pool = planner.get_pool(accelerated=placement.accelerated)
+        pool = planner.pools.get(accelerated=placement.accelerated)
         workers = {pool.get_worker(c).shape.worker for c in placement.cells}
         health = self._health[zone]
         for worker in culprits or workers:
@@ -320,7 +321,7 @@
             shapes = {planned.job.shape for planned in planner.waiting}
             if not shapes:
                 continue
-            space = planner.pools[0].free
+            space = planner.pools.accelerated.free
             usable = 0
             for shape in shapes:
                 slots = max(1, shape.accelerators)
--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -179,7 +179,7 @@
             submit(number)
             number += 1
         take(planner.decide())
-    before = planner.counters.decisions
+    before = planner.decisions
     started_s = time.perf_counter()
     for _ in range(DECISIONS):
         now_s += 1.0
@@ -188,7 +188,7 @@
         planner.finished(running.pop(rng.randrange(len(running))))
         take(planner.decide())
     passed_s = time.perf_counter() - started_s
-    made = max(1, planner.counters.decisions - before)
+    made = max(1, planner.decisions - before)
     return {
         "us_per_event": 1e6 * passed_s / DECISIONS,
         "us_per_decision": 1e6 * passed_s / made,
--- a/harness/mutations.py
+++ b/harness/mutations.py
@@ -137,9 +137,9 @@
     Mutation(
         "no queued job is forgotten",
         "lagoonbeam/core/planner.py",
-        "                self._move_in(pool, waiter, job_id)\n"
+        "        self._occupancy.leave(pool, planned)\n"
         "        self._ordering.reopen(None)",
-        "                self._move_in(pool, waiter, job_id)",
+        "        self._occupancy.leave(pool, planned)",
         "properties/test_liveness.py",
     ),
     Mutation(
--- a/lagoonbeam/core/capacity.py
+++ b/lagoonbeam/core/capacity.py
@@ -1,12 +1,68 @@
-"""Whether the workers of a pool could hold a gang when they are idle."""
+"""Whether the workers of a zone could run a job when they are idle."""
 
 from __future__ import annotations
 
 import collections
+from collections.abc import Iterable
 
 from lagoonbeam.core.cells import WORKER_SPAN, round_up
-from lagoonbeam.core.jobs import GangShape
+from lagoonbeam.core.choosing import PlaceChooser
+from lagoonbeam.core.claims import release_claims, take_claims
+from lagoonbeam.core.jobs import GangShape, Job
+from lagoonbeam.core.planned import PlannedJob
 from lagoonbeam.core.pool import Pool, WorkerShape
+from lagoonbeam.errors import ImpossibleShapeError, InvariantError
+from lagoonbeam.placement import Reach
+from lagoonbeam.types import ZoneName
+
+
+def check_shape(zone: ZoneName, pools: Iterable[Pool], job: Job) -> None:
+    """Checks that the workers of an idle zone could hold a gang.
+
+    Raises:
+        ImpossibleShapeError: If they could not, even when empty.
+    """
+    faults = [find_fault(pool, job.shape) for pool in pools]
+    if all(faults):
+        raise ImpossibleShapeError(f"zone {zone!r}: {faults[0]}")
+
+
+def check_claims(
+    zone: ZoneName,
+    pools: Iterable[Pool],
+    planned: PlannedJob,
+    chooser: PlaceChooser,
+) -> None:
+    """Checks that work that cannot be stopped has cells to run on.
+
+    Args:
+        zone: The zone.
+        pools: The pools to try.
+        planned: The job; its claims are taken and released again.
+        chooser: Chooses cells.
+
+    Raises:
+        ImpossibleShapeError: If the guarantees leave too few.
+    """
+    organisation = planned.job.organisation
+    for pool in pools:
+        for placement in (
+            chooser.reach(pool, planned, Reach.IDLE),
+            chooser.placement.place_free(pool, planned, pool.free),
+        ):
+            if placement is None:
+                continue
+            try:
+                take_claims(pool, organisation, placement)
+            except InvariantError:
+                continue
+            release_claims(pool, organisation, placement)
+            return
+    raise ImpossibleShapeError(
+        f"zone {zone!r}: a job that can be neither stopped nor repeated may"
+        " use its organisation's guarantee and slots that no organisation is"
+        f" guaranteed; {planned.job.shape.members} members do not fit there"
+    )
 
 
 def find_fault(pool: Pool, shape: GangShape) -> str:
--- a/lagoonbeam/core/feasibility.py
+++ b/lagoonbeam/core/feasibility.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import defaultdict
-from itertools import chain
+from typing import TYPE_CHECKING
 
 from lagoonbeam.core.cells import (
     LEVELS,
@@ -14,21 +14,37 @@
     get_level,
     pack_counts,
 )
-from lagoonbeam.core.rules import RulesDocument
 from lagoonbeam.errors import GuaranteeInfeasibleError
-from lagoonbeam.types import ZoneName
+from lagoonbeam.types import OrganisationName, ZoneName
+
+if TYPE_CHECKING:
+    from lagoonbeam.core.rules import RulesDocument
+
+
+def count_promised(
+    document: RulesDocument, zone: ZoneName
+) -> dict[OrganisationName, list[int]]:
+    """Returns each organisation's guaranteed cells of each level in a zone.
+
+    Organisations that are guaranteed nothing there are left out.
+    """
+    promised: dict[OrganisationName, list[int]] = defaultdict(
+        lambda: [0] * LEVELS
+    )
+    for organisation in document.organisations:
+        for guarantee in organisation.guarantees:
+            if guarantee.availability_zone == zone:
+                level = get_level(guarantee.slots)
+                promised[organisation.name][level] += guarantee.count
+    return dict(promised)
 
 
 def count_needed(document: RulesDocument, zone: ZoneName) -> list[int]:
     """Returns how many guaranteed cells of each level a zone must hold."""
-    needed = [0] * LEVELS
-    guarantees = chain.from_iterable(
-        organisation.guarantees for organisation in document.organisations
-    )
-    for guarantee in guarantees:
-        if guarantee.availability_zone == zone:
-            needed[get_level(guarantee.slots)] += guarantee.count
-    return needed
+    promised = count_promised(document, zone).values()
+    return [
+        sum(counts[level] for counts in promised) for level in range(LEVELS)
+    ]
 
 
 def count_declared(document: RulesDocument) -> dict[ZoneName, list[int]]:
--- a/lagoonbeam/core/planner.py
+++ b/lagoonbeam/core/planner.py
@@ -7,69 +7,35 @@
 
 from __future__ import annotations
 
-import collections
-import heapq
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass
 
-from lagoonbeam.core.capacity import find_fault
-from lagoonbeam.core.cells import LEVELS, Cell, get_level
+from lagoonbeam.core.backlog import Backlog
+from lagoonbeam.core.capacity import check_claims, check_shape
+from lagoonbeam.core.cells import Cell
 from lagoonbeam.core.choosing import PlaceChooser
-from lagoonbeam.core.claims import adopt_claims, release_claims, take_claims
+from lagoonbeam.core.claims import adopt_claims, take_claims
 from lagoonbeam.core.estimates import RunTimeEstimator
+from lagoonbeam.core.feasibility import count_promised
 from lagoonbeam.core.jobs import Job
+from lagoonbeam.core.occupancy import Decision, Occupancy
 from lagoonbeam.core.planned import (
     Placement,
     PlannedJob,
     Standing,
 )
 from lagoonbeam.core.pool import Pool, WorkerHealth, WorkerShape
+from lagoonbeam.core.pools import Pools
 from lagoonbeam.core.reservation import Reservations
 from lagoonbeam.core.rules import PolicyChoice, RulesDocument
 from lagoonbeam.core.urgency import UrgentShare
 from lagoonbeam.errors import (
     CellError,
-    ImpossibleShapeError,
     InvariantError,
 )
 from lagoonbeam.ordering import ORDERINGS, Candidate, OrderingPolicy, Route
-from lagoonbeam.placement import PLACEMENTS, Reach
+from lagoonbeam.placement import PLACEMENTS
 from lagoonbeam.preemption import PREEMPTIONS
-from lagoonbeam.types import JobId, OrganisationName, WorkerName, ZoneName
-
-LAUNCH_MARGIN_S = 0.25
-"""Time that a launch may take; a job is placed so much before its deadline."""
-
-
-@dataclass(frozen=True)
-class Start:
-    """A gang is to be launched on its cells."""
-
-    planned: PlannedJob
-    placement: Placement
-
-
-@dataclass(frozen=True)
-class Stop:
-    """A running gang is to be stopped and queued again."""
-
-    planned: PlannedJob
-    cause: str
-
-
-Decision = Start | Stop
-
-
-@dataclass
-class PlannerCounters:
-    """Running totals, for metrics and benchmarks."""
-
-    decisions: int = 0
-    attempts: int = 0
-    preemptions: int = 0
-    moves: int = 0
-    reservations: int = 0
-    refused_claims: int = 0
+from lagoonbeam.types import JobId, WorkerName, ZoneName
 
 
 class Planner:
@@ -90,90 +56,61 @@
     ):
         self.zone = zone
         self.estimator = RunTimeEstimator()
-        self.counters = PlannerCounters()
-        self.pools = [Pool(accelerated=True), Pool(accelerated=False)]
+        self.decisions = 0
+        self.pools = Pools()
         self.jobs: dict[JobId, PlannedJob] = {}
-        self.queued_slots = 0
-        self.queued_slot_s = 0.0
         self.last_run_s = 0.0
         self._now = now
         self._policies = policies or PolicyChoice()
         self._urgent = UrgentShare()
-        self._waiting: dict[JobId, PlannedJob] = {}
-        self._promised: dict[JobId, None] = {}
+        self._backlog = Backlog(self.estimator, now)
+        self._occupancy = Occupancy(self.jobs, self._urgent)
         self._displaced: list[PlannedJob] = []
-        self._deadlines: list[tuple[float, JobId]] = []
-        self._ready: list[Decision] = []
-        self._victims: dict[JobId, set[JobId]] = collections.defaultdict(set)
         self._reservations = Reservations()
         self._ordering: OrderingPolicy = ORDERINGS.get(
             self._policies.ordering
         )()
         self._chooser = PlaceChooser(
             jobs=self.jobs,
-            waiting=self._waiting,
-            promised=self._promised,
+            waiting=self._backlog.waiting,
+            promised=self._occupancy.promised,
             reservations=self._reservations,
             urgent=self._urgent,
             now=now,
-            stop=self._stop,
+            stop=self._occupancy.stop,
             placement=PLACEMENTS.get(self._policies.placement)(),
             preemption=PREEMPTIONS.get(self._policies.preemption)(
                 self.jobs.__getitem__, now
             ),
         )
 
-    @property
-    def free_slots(self) -> int:
-        """Free slots of all pools."""
-        return sum(pool.free.free_slots for pool in self.pools)
-
-    @property
-    def total_slots(self) -> int:
-        """Slots of all known workers."""
-        return sum(pool.total_slots for pool in self.pools)
-
-    @property
-    def shortfall_slots(self) -> int:
-        """Guaranteed slots that healthy workers cannot hold."""
-        return sum(pool.book.shortfall_slots for pool in self.pools)
-
     @property
     def waiting(self) -> Iterable[PlannedJob]:
         """The queued jobs, oldest first."""
-        return self._waiting.values()
+        return self._backlog.waiting.values()
 
-    def get_pool(self, *, accelerated: bool) -> Pool:
-        """Returns the pool with or without accelerators."""
-        return self.pools[0 if accelerated else 1]
-
-    def find_pool(self, worker: WorkerName) -> Pool | None:
-        """Returns the pool of a worker, or None if it was not added."""
-        return next(
-            (pool for pool in self.pools if worker in pool.workers), None
-        )
+    @property
+    def queued_slots(self) -> int:
+        """Slots that the queued jobs ask for."""
+        return self._backlog.queued_slots
 
     def list_promised(self) -> list[PlannedJob]:
         """Returns the placed jobs that wait for others to leave."""
-        return [self.jobs[job_id] for job_id in self._promised]
+        return self._occupancy.list_promised()
 
     def add_worker(self, shape: WorkerShape) -> None:
         """Adds a worker, healthy and empty."""
-        self.get_pool(accelerated=shape.accelerators > 0).add_worker(shape)
-        self._urgent.total_slots = self.total_slots
+        self.pools.get(accelerated=shape.accelerators > 0).add_worker(shape)
+        self._urgent.total_slots = self.pools.total_slots
         self._ordering.reopen(None)
 
-    def has_worker(self, worker: WorkerName) -> bool:
-        """Returns whether the worker was added."""
-        return any(worker in pool.workers for pool in self.pools)
-
     def set_health(self, worker: WorkerName, health: WorkerHealth) -> bool:
         """Opens or closes a worker to new work.
 
         Returns:
             Whether its health changed.
         """
-        pool = self.find_pool(worker)
+        pool = self.pools.find(worker)
         if pool is None or pool.workers[worker].health is health:
             return False
         pool.set_health(worker, health)
@@ -184,15 +121,8 @@
 
     def set_rules(self, rules: RulesDocument | None) -> None:
         """Puts rules in force; what runs keeps running."""
-        promised: dict[OrganisationName, list[int]] = {}
-        for organisation in rules.organisations if rules else ():
-            counts = [0] * LEVELS
-            for guarantee in organisation.guarantees:
-                if guarantee.availability_zone == self.zone:
-                    counts[get_level(guarantee.slots)] += guarantee.count
-            if any(counts):
-                promised[organisation.name] = counts
-        self.get_pool(accelerated=True).book.set_promises(promised)
+        promised = count_promised(rules, self.zone) if rules else {}
+        self.pools.get(accelerated=True).book.set_promises(promised)
         self._reservations.forget_refusals()
         if rules:
             self._urgent.fraction = rules.urgent_lent_fraction
@@ -200,20 +130,17 @@
         self._ordering.set_rules(rules, set(promised))
 
     def check_possible(self, job: Job) -> None:
-        """Checks that the workers of an idle zone could hold a gang.
+        """Checks that the zone, were it idle, could run a job.
 
         Raises:
-            ImpossibleShapeError: If they could not, even when empty.
+            ImpossibleShapeError: If it could not.
         """
-        faults = [
-            fault
-            for pool in self.pools
-            if (fault := find_fault(pool, job.shape))
-        ]
-        if len(faults) == len(self.pools):
-            raise ImpossibleShapeError(f"zone {self.zone!r}: {faults[0]}")
+        check_shape(self.zone, self.pools, job)
         if not job.stoppable:
-            self._check_claims(job)
+            planned = PlannedJob(job, self._now())
+            check_claims(
+                self.zone, self.pools.list_for(job), planned, self._chooser
+            )
 
     def submit(self, job: Job, *, queued_at_s: float | None = None) -> None:
         """Queues a job; one that is known already is ignored."""
@@ -223,9 +150,7 @@
             job, self._now() if queued_at_s is None else queued_at_s
         )
         self.jobs[job.job_id] = planned
-        if job.start_within_s:
-            due_s = planned.queued_at_s + job.start_within_s - LAUNCH_MARGIN_S
-            heapq.heappush(self._deadlines, (due_s, job.job_id))
+        self._backlog.watch_deadline(planned)
         self._enqueue(planned)
 
     def adopt(self, job: Job, placement: Placement) -> PlannedJob:
@@ -238,7 +163,7 @@
         Raises:
             CellError: If its cells are not free.
         """
-        pool = self.get_pool(accelerated=placement.accelerated)
+        pool = self.pools.get(accelerated=placement.accelerated)
         planned = PlannedJob(job, self._now())
         taken: list[Cell] = []
         try:
@@ -262,7 +187,7 @@
         Returns:
             Whether it was queued. A running one is not touched.
         """
-        planned = self._waiting.get(job_id)
+        planned = self._backlog.waiting.get(job_id)
         if planned is None:
             return False
         self._dequeue(planned)
@@ -308,10 +233,9 @@
         self._start_reserved()
         self._ordering.urgent_first = self._urgent.is_open
         for candidate in self._ordering.iterate():
-            self.counters.attempts += 1
             if self._try_place(candidate):
-                self.counters.decisions += 1
-                self._check_guarantees()
+                self.decisions += 1
+                self.pools.check()
             else:
                 self._ordering.skip(candidate)
                 if candidate.route is Route.FREE:
@@ -321,52 +245,33 @@
         for planned in self._displaced:
             self._enqueue(planned)
         self._displaced.clear()
-        decisions, self._ready = self._ready, []
-        return decisions
+        return self._occupancy.take_decisions()
 
     def expire(self) -> list[PlannedJob]:
         """Takes out jobs that never started within their deadline."""
-        late = []
-        while self._deadlines and self._deadlines[0][0] < self._now():
-            _, job_id = heapq.heappop(self._deadlines)
-            planned = self._waiting.get(job_id)
-            if planned is not None and not planned.started_at_s:
-                late.append(planned)
-                self.cancel(job_id)
+        late = self._backlog.take_late()
+        for planned in late:
+            self.cancel(planned.job.job_id)
         return late
 
     def estimate_wait_s(self) -> float:
         """Returns the expected wait of a new job without a guarantee."""
-        if not self._waiting or not self.total_slots:
+        if not self.pools.total_slots:
             return 0.0
-        return self.queued_slot_s / self.total_slots
+        return self._backlog.queued_slot_s / self.pools.total_slots
 
     def abandon(self, job_id: JobId) -> None:
         """Gives up a placement that still waits for others to leave."""
         planned = self.jobs[job_id]
-        placement = planned.placement
-        assert placement is not None
-        pool = self.get_pool(accelerated=placement.accelerated)
-        for victim in planned.waits_for:
-            self._victims[victim].discard(job_id)
-        for cell in placement.cells:
-            pool.withdraw(cell, job_id)
-        release_claims(pool, planned.job.organisation, placement)
-        self._urgent.count(planned, -1)
-        planned.placement = None
-        planned.waits_for.clear()
-        self._promised.pop(job_id, None)
-        self._ready = [
-            each
-            for each in self._ready
-            if not (isinstance(each, Start) and each.planned is planned)
-        ]
+        assert planned.placement is not None
+        pool = self.pools.get(accelerated=planned.placement.accelerated)
+        self._occupancy.abandon(pool, planned)
         self._ordering.reopen(planned.job.organisation)
 
     def _set_policies(self, choice: PolicyChoice) -> None:
         if choice.ordering != self._policies.ordering:
             self._ordering = ORDERINGS.get(choice.ordering)()
-            for planned in self._waiting.values():
+            for planned in self._backlog.waiting.values():
                 self._ordering.add(planned)
         if choice.placement != self._policies.placement:
             self._chooser.placement = PLACEMENTS.get(choice.placement)()
@@ -376,99 +281,37 @@
             )
         self._policies = choice
 
-    def _list_pools(self, job: Job) -> list[Pool]:
-        """Returns the pools to try; plain slots go before accelerators."""
-        accelerated, plain = self.pools
-        if job.shape.accelerators or not plain.total_slots:
-            return [accelerated]
-        return [plain, accelerated]
-
-    def _check_claims(self, job: Job) -> None:
-        """Checks that work that cannot be stopped has cells to run on.
-
-        Raises:
-            ImpossibleShapeError: If the guarantees leave too few.
-        """
-        planned = PlannedJob(job, self._now())
-        for pool in self._list_pools(job):
-            for placement in (
-                self._chooser.reach(pool, planned, Reach.IDLE),
-                self._chooser.placement.place_free(pool, planned, pool.free),
-            ):
-                if placement is None:
-                    continue
-                try:
-                    take_claims(pool, planned.job.organisation, placement)
-                except InvariantError:
-                    continue
-                release_claims(pool, planned.job.organisation, placement)
-                return
-        raise ImpossibleShapeError(
-            f"zone {self.zone!r}: a job that can be neither stopped nor"
-            " repeated may use its organisation's guarantee and slots that no"
-            f" organisation is guaranteed; {job.shape.members} members do not"
-            " fit there"
-        )
-
     def _enqueue(self, planned: PlannedJob) -> None:
-        planned.estimated_run_s = self.estimator.estimate(planned.job)
-        self._waiting[planned.job.job_id] = planned
-        self._count_queued(planned, 1)
+        self._backlog.add(planned)
         self._ordering.add(planned)
 
     def _dequeue(self, planned: PlannedJob) -> None:
-        del self._waiting[planned.job.job_id]
+        self._backlog.remove(planned)
         self._chooser.forget(planned.job.job_id)
-        self._count_queued(planned, -1)
-
-    def _count_queued(self, planned: PlannedJob, sign: int) -> None:
-        shape = planned.job.shape
-        slots = shape.members * max(1, shape.accelerators)
-        self.queued_slots += sign * slots
-        self.queued_slot_s += sign * slots * planned.estimated_run_s
 
     def _leave(self, planned: PlannedJob) -> None:
         """Frees the cells of a job and starts who waited for them."""
         placement = planned.placement
         if placement is None:
             return
-        job_id = planned.job.job_id
-        pool = self.get_pool(accelerated=placement.accelerated)
+        pool = self.pools.get(accelerated=placement.accelerated)
         run_s = max(0.0, self._now() - planned.started_at_s)
         self._ordering.settle(planned, run_s if planned.started_at_s else 0.0)
-        for cell in placement.cells:
-            pool.vacate(cell, job_id)
-        release_claims(pool, planned.job.organisation, placement)
-        self._urgent.count(planned, -1)
-        planned.placement = None
-        for waiter_id in self._victims.pop(job_id, ()):
-            waiter = self.jobs.get(waiter_id)
-            if waiter is not None and waiter.placement is not None:
-                self._move_in(pool, waiter, job_id)
+        self._occupancy.leave(pool, planned)
         self._ordering.reopen(None)
 
-    def _move_in(self, pool: Pool, waiter: PlannedJob, left: JobId) -> None:
-        assert waiter.placement is not None
-        waiter.waits_for.discard(left)
-        for cell in waiter.placement.cells:
-            pool.move_in(cell, waiter.job.job_id)
-        if not waiter.waits_for:
-            del self._promised[waiter.job.job_id]
-            self._ready.append(Start(waiter, waiter.placement))
-
     def _try_place(self, candidate: Candidate) -> bool:
         planned = candidate.planned
-        for pool in self._list_pools(planned.job):
+        for pool in self.pools.list_for(planned.job):
             if candidate.route is Route.GUARANTEED:
                 placement = self._chooser.place_guaranteed(pool, planned)
             else:
                 placement = self._chooser.place_free(pool, planned)
-            if placement is None or self._would_loop(pool, placement):
+            if placement is None or self._occupancy.would_loop(pool, placement):
                 continue
             try:
                 take_claims(pool, planned.job.organisation, placement)
             except InvariantError:
-                self.counters.refused_claims += 1
                 continue
             self._commit(pool, planned, placement)
             self._ordering.accept(candidate)
@@ -478,10 +321,7 @@
     def _call_back(self, pool: Pool, worker: WorkerName) -> None:
         """Queues jobs again that were to start on a closed worker."""
         place = pool.workers[worker]
-        ready = [
-            each.planned for each in self._ready if isinstance(each, Start)
-        ]
-        for planned in [*self.list_promised(), *ready]:
+        for planned in self._occupancy.list_not_started():
             placement = planned.placement
             if placement is None or placement.accelerated != pool.accelerated:
                 continue
@@ -489,20 +329,6 @@
                 self.abandon(planned.job.job_id)
                 self._enqueue(planned)
 
-    def _would_loop(self, pool: Pool, placement: Placement) -> bool:
-        """Whether lent work would displace jobs that wait for cells.
-
-        Only work with a claim may, and claims never overlap, so no two jobs
-        can displace each other in turn.
-        """
-        if placement.standing is not Standing.LENT:
-            return False
-        return any(
-            pool.list_promised(cell)
-            or pool.list_occupants(cell) & self._promised.keys()
-            for cell in placement.cells
-        )
-
     def _start_reserved(self) -> None:
         """Places the gang of the reservation once all its cells are free."""
         reservation = self._reservations.current
@@ -521,55 +347,26 @@
         try:
             take_claims(pool, planned.job.organisation, placement)
         except InvariantError:
-            self.counters.refused_claims += 1
             self._reservations.refuse(planned)
             return
         self._commit(pool, planned, placement)
         self._ordering.take(planned)
-        self.counters.decisions += 1
+        self.decisions += 1
 
     def _commit(
         self, pool: Pool, planned: PlannedJob, placement: Placement
     ) -> None:
-        job_id = planned.job.job_id
-        self._reservations.drop_for(job_id)
-        self._displace(pool, placement)
-        planned.placement = placement
-        for cell in placement.cells:
-            planned.waits_for |= pool.promise(cell, job_id)
-        self._urgent.count(planned, 1)
-        self._dequeue(planned)
-        for victim_id in planned.waits_for:
-            self._victims[victim_id].add(job_id)
-            self._stop(self.jobs[victim_id], "reclaim")
-        if planned.waits_for:
-            self._promised[job_id] = None
-        else:
-            self._ready.append(Start(planned, placement))
-
-    def _displace(self, pool: Pool, placement: Placement) -> None:
-        """Takes out jobs that wait for cells another job now gets.
-
-        They are queued again after the pass, so that a pass always ends.
-        """
-        waiting: set[JobId] = set()
-        for cell in placement.cells:
-            waiting |= pool.list_promised(cell)
-            waiting |= pool.list_occupants(cell) & self._promised.keys()
-        for job_id in waiting:
-            self.abandon(job_id)
-            self._displaced.append(self.jobs[job_id])
-
-    def _stop(self, victim: PlannedJob, cause: str) -> None:
-        if victim.stopping:
-            return
-        victim.stopping = True
-        self.counters.preemptions += 1
-        self._ready.append(Stop(victim, cause))
+        """Gives a job its cells.
 
-    def _check_guarantees(self) -> None:
-        for pool in self.pools:
-            pool.book.check()
+        Jobs that waited for them are queued again after the pass, so that a
+        pass always ends.
+        """
+        self._reservations.drop_for(planned.job.job_id)
+        displaced = self._occupancy.commit(pool, planned, placement)
+        for each in displaced:
+            self._ordering.reopen(each.job.organisation)
+        self._displaced += displaced
+        self._dequeue(planned)
 
     def _reserve(self) -> None:
         """Keeps a reservation for the gang whose turn it is."""
@@ -580,15 +377,14 @@
             reservations.drop()
             self._ordering.reopen(None)
         gang = reservations.choose(
-            self._waiting, now_s=self._now(), rate=self._ordering.rate
+            self._backlog.waiting, now_s=self._now(), rate=self._ordering.rate
         )
         if gang is None:
             return
-        for pool in self._list_pools(gang.job):
+        for pool in self.pools.list_for(gang.job):
             if reservations.make(
                 pool, gang, now_s=self._now(), get_end_s=self._get_end_s
             ):
-                self.counters.reservations += 1
                 return
 
     def _get_end_s(self, job_id: JobId) -> float:
--- a/lagoonbeam/core/rules.py
+++ b/lagoonbeam/core/rules.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from lagoonbeam.core.feasibility import check_guarantees
 from lagoonbeam.errors import RulesInvalidError
 from lagoonbeam.types import OrganisationName, Urgency, ZoneName
 
@@ -158,8 +159,6 @@
         GuaranteeInfeasibleError: If the declared fleet cannot hold all
             guarantees together.
     """
-    from lagoonbeam.core.feasibility import check_guarantees
-
     names = [organisation.name for organisation in document.organisations]
     repeated = sorted({name for name in names if names.count(name) > 1})
     if repeated:
--- a/lagoonbeam/scheduler/adoption.py
+++ b/lagoonbeam/scheduler/adoption.py
@@ -27,7 +27,7 @@
         placement: Its cells.
         attempt: Identifies the launch.
     """
-    pool = planner.get_pool(accelerated=placement.accelerated)
+    pool = planner.pools.get(accelerated=placement.accelerated)
     places = [pool.get_worker(cell) for cell in placement.cells]
     workers = tuple(place.shape.worker for place in places)
     job = planned.job
@@ -119,7 +119,7 @@
     annotation: Annotation,
     reports: Sequence[tuple[WorkerName, TaskReport]],
 ) -> Placement | None:
-    pool = planner.find_pool(reports[0][0])
+    pool = planner.pools.find(reports[0][0])
     if pool is None:
         return None
     cells = []
--- a/lagoonbeam/scheduler/housekeeping.py
+++ b/lagoonbeam/scheduler/housekeeping.py
@@ -94,6 +94,6 @@
         zone = self._get_zone()
         if zone is not None:
             planner = zone.planner
-            self._metrics.gauge("slots.free", planner.free_slots)
-            self._metrics.gauge("slots.total", planner.total_slots)
+            self._metrics.gauge("slots.free", planner.pools.free_slots)
+            self._metrics.gauge("slots.total", planner.pools.total_slots)
             self._metrics.gauge("queue.slots", planner.queued_slots)
--- a/lagoonbeam/scheduler/launching.py
+++ b/lagoonbeam/scheduler/launching.py
@@ -9,7 +9,7 @@
 import anyio
 
 from lagoonbeam.core.jobs import Outcome, Phase
-from lagoonbeam.core.planner import Decision, Start, Stop
+from lagoonbeam.core.occupancy import Decision, Start, Stop
 from lagoonbeam.scheduler.adoption import build_gang
 from lagoonbeam.scheduler.endings import Endings
 from lagoonbeam.scheduler.gang_orders import RELAUNCH_PAUSE_S, GangOrders
--- a/lagoonbeam/scheduler/reports.py
+++ b/lagoonbeam/scheduler/reports.py
@@ -43,7 +43,7 @@
         """Takes a worker's reply; it had `incarnation` before."""
         if incarnation not in ("", reply.incarnation):
             self._term.events.emit("worker.restarted", worker=link.name)
-        if not self._term.planner.has_worker(link.name):
+        if self._term.planner.pools.find(link.name) is None:
             self._term.planner.add_worker(get_worker_shape(link.entry))
         link.leaving = reply.leaving
         link.reachable = True
@@ -135,7 +135,7 @@
     def judge(self, name: WorkerName) -> None:
         """Opens or closes a worker to new work."""
         link = self._term.links.get(name)
-        if link is None or not self._term.planner.has_worker(name):
+        if link is None or self._term.planner.pools.find(name) is None:
             return
         if not link.reachable:
             health = WorkerHealth.UNREACHABLE
@@ -156,7 +156,7 @@
             self._report_shortfall()
 
     def _report_shortfall(self) -> None:
-        shortfall = self._term.planner.shortfall_slots
+        shortfall = self._term.planner.pools.shortfall_slots
         if shortfall != self._shortfall:
             self._shortfall = shortfall
             self._term.events.emit(
--- a/properties/test_planner.py
+++ b/properties/test_planner.py
@@ -13,8 +13,9 @@
     pack_counts,
 )
 from lagoonbeam.core.jobs import GangShape, Job
+from lagoonbeam.core.occupancy import Start, Stop
 from lagoonbeam.core.planned import Standing
-from lagoonbeam.core.planner import Planner, Start, Stop
+from lagoonbeam.core.planner import Planner
 from lagoonbeam.core.pool import WorkerHealth, WorkerShape
 from lagoonbeam.core.rules import (
     Guarantee,
@@ -159,7 +160,7 @@
         self.check()
 
     def check(self) -> None:
-        pool = self.planner.pools[0]
+        pool = self.planner.pools.accelerated
         owned: dict[int, str] = {}
         for job_id in self.running:
             placement = self.planner.jobs[job_id].placement
@@ -174,7 +175,7 @@
 
     def check_guarantees(self) -> None:
         """Packs the unused guarantees into what has no claim, anew."""
-        pool = self.planner.pools[0]
+        pool = self.planner.pools.accelerated
         claimed: set[int] = set()
         needed = [0] * LEVELS
         for organisation in self.rules.organisations:
@@ -198,7 +199,7 @@
                 if slot not in claimed:
                     space.release(Cell(slot, 1))
         missing = pack_counts(space.counts, needed)
-        assert missing <= self.planner.shortfall_slots
+        assert missing <= self.planner.pools.shortfall_slots
 
 
 class TestPlanner:
