--- a/tests/site/test_planner.py
+++ b/tests/site/test_planner.py
@@ -4,6 +4,8 @@
 from types import SimpleNamespace
 from typing import Any
 
+import pytest
+
 from lagoonbeam.site.decisions import Decisions
 from lagoonbeam.site.durations import Durations, Earning
 from lagoonbeam.site.guarantees import find_covered
@@ -186,24 +188,19 @@
     assert durations.get_earning(unit, policy, 110.0) is Earning.FULL
 
 
-def test_unit_that_failed_on_a_worker_goes_to_another() -> None:
-    state = SiteState()
-    (unit,) = accept(state, now_job("a", WHOLE, priority=0))
-    memory = PlanMemory(Decisions("n0", "z1", descriptor=2))
-    sessions = make_sessions(2)
-    memory.avoid(unit, "w0")
-    made = make_plan(memory, state, sessions, sessions, make_configuration())
-    assert workers_of(made) == ["w1"]
-
-
-def test_unit_that_failed_everywhere_may_still_start() -> None:
+@pytest.mark.parametrize(
+    ("workers", "expected"),
+    [(2, "w1"), (1, "w0")],
+    ids=["goes_to_another", "failed_everywhere_may_still_start"],
+)
+def test_unit_that_failed_on_a_worker(workers: int, expected: str) -> None:
     state = SiteState()
     (unit,) = accept(state, now_job("a", WHOLE, priority=0))
     memory = PlanMemory(Decisions("n0", "z1", descriptor=2))
-    sessions = make_sessions(1)
+    sessions = make_sessions(workers)
     memory.avoid(unit, "w0")
     made = make_plan(memory, state, sessions, sessions, make_configuration())
-    assert workers_of(made) == ["w0"]
+    assert workers_of(made) == [expected]
 
 
 def test_gang_of_one_rack_runs_over_racks_when_much_is_idle() -> None:
