The split of the planner expects no wait of an empty queue again

Cause: dropped the look at the queue before its sum; what rounding leaves (1e-17) was then a wait, and zones were chosen by it. Ruled out: the order of sets, memory layout.

--- a/lagoonbeam/core/occupancy.py
+++ b/lagoonbeam/core/occupancy.py
@@ -151,14 +151,11 @@
 
     def _list_waiting(self, pool: Pool, placement: Placement) -> set[JobId]:
         """Returns the jobs that wait for any of these cells."""
-        return {
-            job_id
-            for cell in placement.cells
-            for job_id in (
-                pool.list_promised(cell)
-                | (pool.list_occupants(cell) & self.promised.keys())
-            )
-        }
+        waiting: set[JobId] = set()
+        for cell in placement.cells:
+            waiting |= pool.list_promised(cell)
+            waiting |= pool.list_occupants(cell) & self.promised.keys()
+        return waiting
 
     def _move_in(self, pool: Pool, waiter: PlannedJob, left: JobId) -> None:
         assert waiter.placement is not None
--- a/lagoonbeam/core/planner.py
+++ b/lagoonbeam/core/planner.py
@@ -256,7 +256,7 @@
 
     def estimate_wait_s(self) -> float:
         """Returns the expected wait of a new job without a guarantee."""
-        if not self.pools.total_slots:
+        if not self._backlog.waiting or not self.pools.total_slots:
             return 0.0
         return self._backlog.queued_slot_s / self.pools.total_slots
 
