Close the workers of evacuated zones, and check again before a start

Besides, a placement whose append took seconds was started although its worker had begun to drain or had been cordoned meanwhile.

Change: the fleet asks a ZoneEvacuations for the closed zones; the adapter answers from the operators' topic, which every instance follows for its configuration. Nothing of it is journaled: an instance claims no term before it has read that topic, so a takeover or a loss of power keeps the request. The launch of runs moved from the scheduler to RunLauncher, which withdraws a whole unit (NEVER_STARTED) if one of its workers is closed by then.

--- a/harness/site.py
+++ b/harness/site.py
@@ -140,6 +140,13 @@
             content=json.dumps(configuration),
         ).raise_for_status()
 
+    def set_zone_evacuated(self, zone: str, *, is_evacuated: bool) -> None:
+        """Requests the evacuation of a zone or withdraws the request."""
+        self.http_client.post(
+            f"{self.store_url}/standin/put?topic=keyed.op&key=evacuate/{zone}",
+            content=b"{}" if is_evacuated else b"",
+        ).raise_for_status()
+
     def request_upkeep_wave(
         self, number: int, machines: list[str], *, duration_s: float, cap: int
     ) -> None:
--- a/lagoonbeam/site/events.py
+++ b/lagoonbeam/site/events.py
@@ -49,6 +49,8 @@
     """Workers with runs are no longer in the worker directory."""
     WORKER_MALFORMED = "worker.malformed"
     """A worker's directory entry could not be decoded."""
+    ZONES_EVACUATED = "zones.evacuated"
+    """The zones that operators evacuate changed; their workers get no runs."""
     ADVICE_GIVEN = "advice.given"
     """The advice service answered a request for a step's tickets."""
     ADVICE_FAILED = "advice.failed"
@@ -132,6 +134,7 @@
         Event.TERM_LOST,
         Event.WORKER_LAPSED,
         Event.WORKER_RESTARTED,
+        Event.ZONES_EVACUATED,
     }
 )
 """Events that are tied to no job; ``lagoonbeam explain`` shows those that fall
--- a/lagoonbeam/site/fleet.py
+++ b/lagoonbeam/site/fleet.py
@@ -10,11 +10,17 @@
 from lagoonbeam.core.worker_health import WorkerHealthTracker
 from lagoonbeam.site.decision_log import DecisionLog
 from lagoonbeam.site.dependency import DependencyMonitor
+from lagoonbeam.site.events import Event
 from lagoonbeam.site.jobs import Task
 from lagoonbeam.site.model import WorkerReport
-from lagoonbeam.site.platform_interface import WorkerConnector, WorkerDirectory
+from lagoonbeam.site.platform_interface import (
+    WorkerConnector,
+    WorkerDirectory,
+    ZoneEvacuations,
+)
 from lagoonbeam.site.scheduler_callbacks import SchedulerCallbacks
 from lagoonbeam.site.session import WorkerSession
+from lagoonbeam.types import ZoneName
 
 DIRECTORY_POLL_S = 0.4
 """Seconds between two reads of the worker directory: a fifth of the two seconds
@@ -37,6 +43,8 @@
         scheduler: The scheduler, which the sessions report to.
         lease_s: Duration of each lease, in seconds.
         decisions: The decision log.
+        zone_evacuations: Zones that operators evacuate; None if the platform
+            has no such requests.
 
     Attributes:
         sessions: The session with each worker, by name.
@@ -52,6 +60,7 @@
         *,
         lease_s: float,
         decisions: DecisionLog,
+        zone_evacuations: ZoneEvacuations | None = None,
     ):
         self.sessions: dict[str, WorkerSession] = {}
         self.evacuations: set[str] = set()
@@ -66,20 +75,63 @@
         self._scheduler = scheduler
         self._lease_s = lease_s
         self._decisions = decisions
+        self._zone_evacuations = zone_evacuations
+        self._evacuated_zones: frozenset[ZoneName] = frozenset()
         self._dependency_monitor = DependencyMonitor(
             "list of workers", decisions
         )
 
     def get_usable_sessions(self) -> dict[str, WorkerSession]:
         """Returns the sessions with workers that may get new runs, by name."""
+        self._update_evacuated_zones()
         return {
             name: session
             for name, session in self.sessions.items()
             if session.is_usable
-            and name not in self.evacuations
+            and self.accepts_runs(name)
             and not self.health.is_quarantined(name)
         }
 
+    def accepts_runs(self, worker: str) -> bool:
+        """Whether nobody has asked that a worker get no new runs.
+
+        Checked again after a placement was journaled, which may take seconds:
+        the worker may have begun to drain or be evacuated meanwhile.
+        """
+        session = self.sessions.get(worker)
+        return (
+            session is not None
+            and not session.report.is_draining
+            and worker not in self.evacuations
+            and session.report.availability_zone
+            not in self._list_evacuated_zones()
+        )
+
+    def has_incarnation(self, worker: str, incarnation: int) -> bool:
+        """Whether there is a session with this incarnation of a worker."""
+        session = self.sessions.get(worker)
+        return session is not None and session.report.incarnation == incarnation
+
+    def _list_evacuated_zones(self) -> frozenset[ZoneName]:
+        if self._zone_evacuations is None:
+            return frozenset()
+        return self._zone_evacuations.list_evacuated_zones()
+
+    def _update_evacuated_zones(self) -> None:
+        """Logs a change of the evacuated zones."""
+        zones = self._list_evacuated_zones()
+        if zones == self._evacuated_zones:
+            return
+        self._evacuated_zones = zones
+        workers = [
+            name
+            for name, session in self.sessions.items()
+            if session.report.availability_zone in zones
+        ]
+        self._decisions.emit(
+            Event.ZONES_EVACUATED, zones=sorted(zones), workers=len(workers)
+        )
+
     def find_tasks_outlasting_drain(self) -> list[tuple[str, Task]]:
         """Returns tasks that outlast their draining worker, with its name."""
         return [
--- a/lagoonbeam/site/platform_interface.py
+++ b/lagoonbeam/site/platform_interface.py
@@ -11,7 +11,7 @@
 
 from lagoonbeam.site.machines import MachineService, WaveRegistry
 from lagoonbeam.site.model import Configuration, PollReply, WorkerReport
-from lagoonbeam.types import Offset
+from lagoonbeam.types import Offset, ZoneName
 
 
 @dataclass(frozen=True, slots=True)
@@ -135,6 +135,14 @@
         """
 
 
+class ZoneEvacuations(ABC):
+    """Operators' requests to evacuate availability zones."""
+
+    @abstractmethod
+    def list_evacuated_zones(self) -> frozenset[ZoneName]:
+        """Returns the zones, as last read, whose workers get no new runs."""
+
+
 class WorkerDirectory(ABC):
     """Directory of the registered workers."""
 
@@ -293,6 +301,8 @@
             platform has none.
         wave_registry: Operators' requests for upkeep; None if the platform has
             none.
+        zone_evacuations: Operators' requests to evacuate zones; None if the
+            platform has none.
     """
 
     journal_store: JournalStore
@@ -302,3 +312,4 @@
     advice_service: AdviceService | None = None
     machines: MachineService | None = None
     wave_registry: WaveRegistry | None = None
+    zone_evacuations: ZoneEvacuations | None = None
--- a/lagoonbeam/site/scheduler.py
+++ b/lagoonbeam/site/scheduler.py
@@ -26,13 +26,12 @@
 from lagoonbeam.site.platform_interface import JournalWriter, PlatformServices
 from lagoonbeam.site.policies import Policies
 from lagoonbeam.site.records import (
-    Placement,
     Record,
     RunEnd,
     TermRenewed,
     TermResigned,
-    split_placements,
 )
+from lagoonbeam.site.run_launcher import RunLauncher
 from lagoonbeam.site.spare_pools import ShortageTracker, SparePoolController
 from lagoonbeam.site.state import SiteState
 from lagoonbeam.site.termination import TerminationRecorder
@@ -99,6 +98,7 @@
             self,
             lease_s=time_limits.lease_s,
             decisions=decisions,
+            zone_evacuations=platform_services.zone_evacuations,
         )
         self._follower = follower
         self._advice = AdviceCache(platform_services.advice_service, decisions)
@@ -120,6 +120,15 @@
             self._planner_state,
             decisions,
         )
+        self._launcher = RunLauncher(
+            get_state=lambda: self.state,
+            fleet=self._fleet,
+            advice=self._advice,
+            planner_state=self._planner_state,
+            append_to_journal=self._append_to_journal,
+            record_run_ends=self.record_run_ends,
+            decisions=decisions,
+        )
         self._shortage_tracker = ShortageTracker()
         self._machine_controllers = self._make_machine_controllers(
             platform_services, TermHolder(instance, writer.epoch)
@@ -327,62 +336,11 @@
         self._shortage_tracker.update(plan.unplaced_steps)
         for victim, unit in plan.stops:
             self._stop_unit(victim, f"room for {unit.key}")
-        placements: list[Placement] = []
-        now_s = time.time()
-        for unit, assignment in plan.starts:
-            job = unit.job
-            due_s = max(job.request.accepted_at_s, job.due_s(unit.occurrence))
-            self._decisions.metrics.start_latency_s.observe(
-                max(0.0, now_s - due_s)
-            )
-            run = unit.next_run
-            for task, worker in assignment:
-                session = self._fleet.sessions[worker]
-                session.dispatcher.add_pending_start(task.task_id)
-                placements.append(
-                    Placement(
-                        task.task_id,
-                        run,
-                        worker,
-                        session.report.incarnation,
-                        unit.checkpoint,
-                    )
-                )
-        if placements and self._task_group is not None:
-            unit_keys = [unit.key for unit, _ in plan.starts]
-            self._task_group.start_soon(
-                self._journal_and_start, placements, unit_keys
-            )
+        if self._task_group is not None:
+            self._launcher.launch(plan.starts, self._task_group)
         if plan.is_truncated:
             self._plan_requested.set()
 
-    async def _journal_and_start(
-        self, placements: list[Placement], unit_keys: list[str]
-    ) -> None:
-        """Journals the placements of units, then starts those still valid."""
-        is_stored = await self._append_to_journal(split_placements(placements))
-        for key in unit_keys:
-            self._planner_state.launching_assignments.pop(key, None)
-        for placement in placements:
-            task = self.state.tasks.get(placement.task_id)
-            session = self._fleet.sessions.get(placement.worker)
-            if session is None or self._task_group is None:
-                continue
-            if (
-                not is_stored
-                or task is None
-                or task.placement != placement
-                or not task.unit.job.is_open
-                or session.report.incarnation != placement.incarnation
-            ):
-                session.dispatcher.cancel_pending_start(placement.task_id)
-                continue
-            tickets = self._advice.get_tickets(get_step_id(task.unit))
-            ticket = tickets.get(placement.worker, "")
-            self._task_group.start_soon(
-                session.dispatcher.start_run, task, placement, ticket
-            )
-
     def _get_policy(self, job: SiteJob) -> QueuePolicy:
         """Returns the policy of a job's queue; that of acceptance if gone."""
         policy = job.request.queue
--- /dev/null
+++ b/tests/adapters/test_operator_channel.py
@@ -0,0 +1,93 @@
+"""What an instance reads from the topic that operators write."""
+
+from __future__ import annotations
+
+import base64
+from typing import Any
+
+import pytest
+from lagoonbeam_platform.store import PlatformOperatorChannel
+from lagoonbeam_platform.store_client import KeyedItem, encode_keyed_record
+
+from lagoonbeam.errors import LogTruncatedError
+from lagoonbeam.site.platform_interface import JournalPage
+
+pytestmark = pytest.mark.anyio
+CONFIGURATION = b'{"version": 1}'
+
+
+@pytest.fixture
+def anyio_backend() -> str:
+    return "asyncio"
+
+
+class FakeStoreClient:
+    """The operators' topic in memory."""
+
+    def __init__(self) -> None:
+        self.values = {"config": CONFIGURATION}
+        self.records: list[bytes] = []
+        self.is_truncated = False
+
+    def put(self, key: str, value: bytes) -> None:
+        self.records.append(encode_keyed_record(key, value))
+        self.values.pop(key, None)
+        if value:
+            self.values[key] = value
+
+    async def read_newest(self, topic: str) -> tuple[list[KeyedItem], int]:
+        items = [
+            KeyedItem(key, base64.b64encode(value).decode())
+            for key, value in self.values.items()
+        ]
+        return items, len(self.records)
+
+    async def read(
+        self, topic: str, first_offset: int, wait_s: float
+    ) -> JournalPage:
+        if self.is_truncated:
+            self.is_truncated = False
+            raise LogTruncatedError("gone", oldest_offset=len(self.records))
+        records = tuple(self.records[first_offset:])
+        return JournalPage(first_offset, records, len(self.records))
+
+
+def make_channel(client: FakeStoreClient) -> PlatformOperatorChannel:
+    store_client: Any = client
+    return PlatformOperatorChannel(store_client, lambda *_, **__: None)
+
+
+async def test_zone_is_evacuated_until_the_request_is_removed() -> None:
+    client = FakeStoreClient()
+    channel = make_channel(client)
+    await channel.wait_for_newer(0, wait_s=0.0)
+    assert channel.list_evacuated_zones() == frozenset()
+    client.put("evacuate/z1", b"{}")
+    client.put("evacuate/z2", b"not json")
+    await channel.wait_for_newer(0, wait_s=0.0)
+    assert channel.list_evacuated_zones() == {"z1", "z2"}
+    client.put("evacuate/z1", b"")
+    await channel.wait_for_newer(0, wait_s=0.0)
+    assert channel.list_evacuated_zones() == {"z2"}
+
+
+async def test_new_instance_knows_an_evacuation_with_its_configuration() -> (
+    None
+):
+    """An instance claims no term before it has a configuration."""
+    client = FakeStoreClient()
+    client.put("evacuate/z1", b"{}")
+    channel = make_channel(client)
+    assert await channel.wait_for_newer(0, wait_s=0.0) is not None
+    assert channel.list_evacuated_zones() == {"z1"}
+
+
+async def test_removal_in_a_truncated_part_of_the_topic_is_seen() -> None:
+    client = FakeStoreClient()
+    client.put("evacuate/z1", b"{}")
+    channel = make_channel(client)
+    await channel.wait_for_newer(0, wait_s=0.0)
+    client.put("evacuate/z1", b"")
+    client.is_truncated = True
+    await channel.wait_for_newer(0, wait_s=0.0)
+    assert channel.list_evacuated_zones() == frozenset()
