Leave the launch intent of another scheduler in force

Change: an acceptance is queued in the zone of the first record in the log; a refused launch voids only its own intent, and appends none where another one stands. Two tests failed before ('1-z1-0-3' in place of the other intent; the job started in the second zone), both pass.

--- a/lagoonbeam/scheduler/decision_executor.py
+++ b/lagoonbeam/scheduler/decision_executor.py
@@ -104,11 +104,8 @@
     async def _requeue_unlaunched(self, gang: Gang) -> None:
         """Queues the job of a gang again of which no start was sent."""
         self._term_state.emit("gang.not_launched", gang)
-        if (
-            not gang.job.idempotent
-            and not await self._gang_stopper.void_launch_intent(gang)
-        ):
-            return
+        if not gang.job.idempotent:
+            await self._gang_stopper.void_launch_intent(gang)
         await anyio.sleep(RELAUNCH_DELAY_S)
         self._term_state.remove_gang(gang)
         if gang.cancelled:
--- a/lagoonbeam/scheduler/gang_launcher.py
+++ b/lagoonbeam/scheduler/gang_launcher.py
@@ -103,6 +103,9 @@
         Returns:
             Whether the log contains the intent of this launch.
         """
+        entry = self._log_client.state.jobs.get(gang.job.job_id)
+        if entry is not None and entry.intent is not None:
+            return self._is_intent_recorded(gang)
         members = tuple(
             LaunchMember(name, self._worker_links[name].incarnation)
             for name in gang.group_members_by_worker()
--- a/lagoonbeam/scheduler/gang_stopper.py
+++ b/lagoonbeam/scheduler/gang_stopper.py
@@ -45,18 +45,23 @@
     async def _send_stop(self, gang: Gang, checkpoint: bool) -> None:
         await self._term_state.gang_launcher.stop(gang, checkpoint=checkpoint)
 
-    async def void_launch_intent(self, gang: Gang) -> bool:
+    async def void_launch_intent(self, gang: Gang) -> None:
         """Voids the intent of a launch that started no task.
 
         Retries until the log accepts the record, because a job with an intent
-        cannot be launched again.
+        cannot be launched again. The intent of another launch, which another
+        scheduler may have carried out, stays as it is.
         """
         entry = self._term_state.log_client.state.jobs.get(gang.job.job_id)
-        if entry is None or entry.intent is None:
-            return True
+        if (
+            entry is None
+            or entry.intent is None
+            or entry.intent.attempt != gang.attempt
+        ):
+            return
         record = LaunchVoided(
             job_id=gang.job.job_id,
-            attempt=entry.intent.attempt,
+            attempt=gang.attempt,
             availability_zone=self._term_state.zone_name,
             term=self._term_state.term,
         )
@@ -66,6 +71,6 @@
                     record,
                     timeout_s=self._term_state.context.settings.append_timeout_s,
                 )
-                return True
+                return
             except (LogUnavailableError, LogAppendUnconfirmedError):
                 await anyio.sleep(RELAUNCH_DELAY_S)
--- a/lagoonbeam/scheduler/job_completion.py
+++ b/lagoonbeam/scheduler/job_completion.py
@@ -121,8 +121,7 @@
             )
 
     async def _void_intent_and_requeue(self, gang: Gang) -> None:
-        if not await self._gang_stopper.void_launch_intent(gang):
-            return
+        await self._gang_stopper.void_launch_intent(gang)
         if gang.cancelled:
             self.finish_gang(
                 gang, JobOutcome.CANCELLED, "cancelled by its caller"
--- a/lagoonbeam/scheduler/zone_scheduler.py
+++ b/lagoonbeam/scheduler/zone_scheduler.py
@@ -264,14 +264,16 @@
     @_handle_record.register
     def _(self, record: JobAccepted) -> None:
         job = record.job
-        is_logged = job.job_id in self._term_state.log_client.state.jobs
-        if is_logged:
-            self._term_state.outcome_writer.provisional.pop(job.job_id, None)
-        elif job.job_id in self._term_state.outcome_writer.provisional:
-            self._completion_handler.discard_duplicate_job(job)
+        entry = self._term_state.log_client.state.jobs.get(job.job_id)
+        provisional = self._term_state.outcome_writer.provisional
+        if entry is None:
+            if job.job_id in provisional:
+                self._completion_handler.discard_duplicate_job(job)
             return
-        if is_logged and job.availability_zone == self._term_state.zone_name:
-            self.enqueue(job, provisional=False)
+        provisional.pop(job.job_id, None)
+        # The first acceptance in the log counts, also for the zone.
+        if entry.job.availability_zone == self._term_state.zone_name:
+            self.enqueue(entry.job, provisional=False)
 
     @_handle_record.register
     def _(self, record: JobFinished) -> None:
--- a/tests/test_zone_scheduler.py
+++ b/tests/test_zone_scheduler.py
@@ -1,9 +1,16 @@
 from __future__ import annotations
 
+from dataclasses import replace
+
 import anyio
 import pytest
 
-from lagoonbeam.core.records import LaunchIntended, LaunchMember, Term
+from lagoonbeam.core.records import (
+    JobAccepted,
+    LaunchIntended,
+    LaunchMember,
+    Term,
+)
 from lagoonbeam.endpoints.base import TaskState
 from tests.fakes import ZONE, FakeLog, FakeWorker, make_job, run_zone_scheduler
 
@@ -77,6 +84,45 @@
             await anyio.sleep(0.5)
             assert len(harness.started_task_ids) == 1
 
+    async def test_intent_of_another_launch_is_not_voided(self) -> None:
+        """Another scheduler has launched the job, which must not run twice."""
+        async with run_zone_scheduler(count=1) as harness:
+            worker = harness.workers["w0"]
+            worker.reject_reservations = True
+            await harness.submit(make_job("j0", members=8))
+            await harness.submit(make_job(idempotent=False, members=8))
+            await harness.log_client.append(
+                LaunchIntended(
+                    job_id="j1",
+                    attempt="other-launch",
+                    availability_zone=ZONE,
+                    term=Term(1, "z1-0"),
+                    members=(LaunchMember("w9", "1"),),
+                ),
+                timeout_s=1.0,
+            )
+            harness.zone_scheduler.cancel("j0")
+            worker.reject_reservations = False
+            await anyio.sleep(0.8)
+            intent = harness.log_client.state.jobs["j1"].intent
+            assert intent is not None
+            assert intent.attempt == "other-launch"
+            assert harness.started_task_ids == []
+
+    async def test_second_acceptance_for_another_zone_is_not_queued(
+        self,
+    ) -> None:
+        """The caller's retry reached another zone before the log showed it."""
+        async with run_zone_scheduler() as harness:
+            job = make_job()
+            first = replace(job, availability_zone="z2")
+            await harness.log_client.append(
+                JobAccepted(job=first), timeout_s=1.0
+            )
+            await harness.submit(job)
+            await anyio.sleep(0.2)
+            assert harness.started_task_ids == []
+
 
 class TestMemberLost:
     async def test_crash_of_one_worker_stops_and_relaunches_the_gang(
