--- a/lagoonbeam/site/job_service.py
+++ b/lagoonbeam/site/job_service.py
@@ -34,6 +34,9 @@
 jobs must be visible on all instances after 3 s."""
 RETRY_AFTER_S = 1.0
 """Delay after which refused callers are asked to retry."""
+REFRESH_TIMEOUT_S = 0.3
+"""Time to read the newest records before the state of an open job is told; the
+replica's own state is told after that."""
 CATCH_UP_TIMEOUT_S = 1.0
 """Time to read the newest records before an unknown job is reported as such."""
 STORE_SILENCE_LIMIT_S = 1.0
@@ -184,6 +187,9 @@
         if job_id not in self._follower.state.jobs:
             await self._follower.catch_up(CATCH_UP_TIMEOUT_S)
         job = self._follower.state.jobs.get(job_id)
+        if job is not None and job.is_open:
+            await self._follower.refresh(REFRESH_TIMEOUT_S)
+            job = self._follower.state.jobs.get(job_id)
         if job is not None and not job.is_open:
             return job
         self._check_state_age()
--- a/lagoonbeam/site/journal_follower.py
+++ b/lagoonbeam/site/journal_follower.py
@@ -33,9 +33,10 @@
 ACTIVE_READ_WAIT_S = 0.25
 """Seconds for which the active scheduler's reads wait. A store that discards
 its history answers new reads, but wakes no waiting one for a second."""
-FOLLOWER_READ_INTERVAL_S = 0.1
-"""Seconds a passive follower pauses after a read that returned records; limits
-its request rate to the store independently of the rate of records."""
+FOLLOWER_READ_INTERVAL_S = 0.5
+"""Mean seconds a passive follower pauses after a read that returned records;
+limits its request rate to the store independently of the rate of records. All
+instances of a fleet pay this rate; a caller's question ends the pause."""
 RETRY_DELAY_S = 0.1
 """Seconds between two attempts to reach the store, before jitter."""
 
@@ -69,6 +70,7 @@
         self._decisions = decisions
         self._changed = anyio.Event()
         self._read_requested = anyio.Event()
+        self._is_pausing = False
         self._last_read_started_s = float("-inf")
         self._store_monitor = DependencyMonitor("store", decisions)
         self.state = SiteState()
@@ -116,8 +118,7 @@
             self._last_read_started_s = read_started_s
             self._notify_waiters()
             if page.records and not self.is_active_scheduler:
-                with anyio.move_on_after(FOLLOWER_READ_INTERVAL_S):
-                    await self._read_requested.wait()
+                await self._pause()
 
     async def wait_for_offset(self, offset: Offset, timeout_s: float) -> bool:
         """Waits until all records before an offset are applied.
@@ -138,6 +139,14 @@
             while self._last_read_started_s < called_s:
                 await self._changed.wait()
 
+    async def refresh(self, timeout_s: float) -> None:
+        """Ends a pause between two reads and waits for the next one.
+
+        Outside of a pause, a read is waiting for the newest records already.
+        """
+        if self._is_pausing:
+            await self.catch_up(timeout_s)
+
     async def wait_for_change(self) -> None:
         """Waits until the next read or append has been applied."""
         await self._changed.wait()
@@ -183,6 +192,12 @@
                 await anyio.sleep(add_jitter(RETRY_DELAY_S))
             return
 
+    async def _pause(self) -> None:
+        self._is_pausing = True
+        with anyio.move_on_after(add_jitter(FOLLOWER_READ_INTERVAL_S)):
+            await self._read_requested.wait()
+        self._is_pausing = False
+
     def _get_read_wait_s(self) -> float:
         if self._read_requested.is_set():
             self._read_requested = anyio.Event()
--- /dev/null
+++ b/tests/site/test_journal_follower.py
@@ -0,0 +1,101 @@
+"""How often a follower reads the journal; what callers see between reads."""
+
+from __future__ import annotations
+
+import anyio
+import pytest
+
+from lagoonbeam.site import journal_follower as follower_module
+from lagoonbeam.site.decision_log import DecisionLog
+from lagoonbeam.site.job_service import JobService
+from lagoonbeam.site.journal_appender import JournalAppender
+from lagoonbeam.site.journal_follower import JournalFollower
+from lagoonbeam.site.model import JobState
+from lagoonbeam.site.platform_interface import JournalPage, JournalWriter
+from lagoonbeam.site.records import (
+    JobAccepted,
+    JobCancelled,
+    Record,
+    TermRenewed,
+    encode_record,
+)
+from tests.site.builders import make_job
+from tests.site.test_journal_appender import FakeJournalStore
+
+pytestmark = pytest.mark.anyio
+
+
+@pytest.fixture
+def anyio_backend() -> str:
+    return "asyncio"
+
+
+class CountingStore(FakeJournalStore):
+    """Counts the reads; another instance appends through `store_record`."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.read_count = 0
+
+    def store_record(self, record: Record) -> None:
+        self.records.append(encode_record(record))
+
+    async def read(self, first_offset: int, *, wait_s: float) -> JournalPage:
+        self.read_count += 1
+        return await super().read(first_offset, wait_s=wait_s)
+
+
+class Replica:
+    """A passive follower of a journal, and the service that asks it."""
+
+    def __init__(self) -> None:
+        self.store = CountingStore()
+        decisions = DecisionLog("n0", "z1", descriptor=2)
+        self.follower = JournalFollower(self.store, decisions)
+        appender = JournalAppender(
+            self.store, JournalWriter("n0"), self.follower
+        )
+        self.service = JobService(self.follower, appender, decisions)
+
+
+async def test_reads_of_a_follower_do_not_grow_with_the_records(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(follower_module, "add_jitter", lambda delay_s: delay_s)
+    replica = Replica()
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(replica.follower.run)
+        for _ in range(100):
+            replica.store.store_record(TermRenewed(1))
+            await anyio.sleep(0.01)
+        tasks.cancel_scope.cancel()
+    # A first read, then one a pause of half a second.
+    assert replica.store.read_count <= 4
+
+
+async def test_question_about_an_open_job_ends_the_pause() -> None:
+    replica = Replica()
+    replica.store.store_record(JobAccepted(make_job("a")))
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(replica.follower.run)
+        await replica.follower.wait_for_offset(1, 2.0)
+        replica.store.store_record(JobCancelled("a"))
+        with anyio.fail_after(0.2):
+            state = await replica.service.get_job_state("a")
+        assert state is JobState.CANCELLED
+        tasks.cancel_scope.cancel()
+
+
+async def test_active_scheduler_reads_without_a_pause() -> None:
+    replica = Replica()
+    replica.follower.is_active_scheduler = True
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(replica.follower.run)
+        for _ in range(20):
+            replica.store.store_record(TermRenewed(1))
+            await anyio.sleep(0.01)
+            await replica.follower.wait_for_offset(
+                len(replica.store.records), 1.0
+            )
+        tasks.cancel_scope.cancel()
+    assert replica.store.read_count >= 20
