--- a/benchmarks/case_runner.py
+++ b/benchmarks/case_runner.py
@@ -30,7 +30,7 @@
         description: Description of the program for its help text.
         scene_factories: Functions that make the scenes; ``--scene`` selects
             those whose names contain its value.
-        fleets: Names of the deployments.
+        fleets: Names of the deployments; ``--deployments`` selects some.
         policies: Names of the policy sets.
         processes: Default number of processes.
 
@@ -42,12 +42,13 @@
     parser.add_argument("--processes", type=int, default=processes)
     parser.add_argument("--scene", default="")
     parser.add_argument("--policies", default=",".join(policies))
+    parser.add_argument("--deployments", default=",".join(fleets))
     arguments = parser.parse_args()
     cases = [
         (scene_index, fleet, policy, seed)
         for scene_index, make_scene in enumerate(scene_factories)
         if arguments.scene in make_scene.__name__
-        for fleet in fleets
+        for fleet in arguments.deployments.split(",")
         for policy in arguments.policies.split(",")
         for seed in range(1, arguments.seeds + 1)
     ]
--- a/benchmarks/site_bench.py
+++ b/benchmarks/site_bench.py
@@ -17,17 +17,19 @@
 
 from benchmarks.case_runner import run_cases
 from benchmarks.site_metrics import compute_site_metrics
-from benchmarks.site_scenes import ARMOR, SCENE_FACTORIES, TAUVERK
+from benchmarks.site_scenes import ARMOR, LARGE, SCENE_FACTORIES, TAUVERK
 from benchmarks.site_simulation import SiteSimulation
 from lagoonbeam.site.policies import PolicyNames
 
-FLEETS = {fleet.name: fleet for fleet in (ARMOR, TAUVERK)}
+FLEETS = {fleet.name: fleet for fleet in (ARMOR, TAUVERK, LARGE)}
 POLICIES = {
     "site": (PolicyNames(), True),
     "priority order": (PolicyNames(ordering="priority"), True),
     "first fit": (PolicyNames(packing="first_fit"), True),
     "fullest first": (PolicyNames(packing="fullest"), True),
     "no reserve": (PolicyNames(reserve="none"), True),
+    "no holds": (PolicyNames(reserve="share_without_holds"), True),
+    "fraction": (PolicyNames(reserve="share"), True),
     "youngest stopped": (PolicyNames(eviction="youngest_job"), True),
     "never stopped": (PolicyNames(eviction="never"), True),
     "no quarantine": (PolicyNames(), False),
--- a/benchmarks/site_scenes.py
+++ b/benchmarks/site_scenes.py
@@ -24,6 +24,8 @@
 SERVICE_NAME = "compute"
 ACCELERATORS_PER_TASK = (1, 2, 4, 8)
 """Numbers of accelerators that a task of a gang may have."""
+LARGE_ACCELERATORS_PER_TASK = (1, 2, 4, 8, 8)
+"""The same for the large deployment, equally likely."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -42,6 +44,8 @@
         is_checkpointing: Whether tasks save their progress.
         worth: Worth of a mean job that completes in time.
         late_worth: Share of its worth that a late job earns.
+        memory_mb: Memory for each task.
+        one_rack_share: Share of the gangs that need one rack.
     """
 
     policy: QueuePolicy
@@ -55,6 +59,8 @@
     is_checkpointing: bool
     worth: float
     late_worth: float
+    memory_mb: int = 4_000
+    one_rack_share: float = 1.0
 
 
 def make_job_kinds(scale: float) -> tuple[SiteJobKind, ...]:
@@ -75,6 +81,27 @@
     )
 
 
+def make_large_job_kinds(scale: float) -> tuple[SiteJobKind, ...]:
+    """Returns the kinds of jobs of the large deployment."""
+    return (
+        SiteJobKind(
+            QueuePolicy("checks", SERVICE_NAME, 0, 3, 1.5, 0.3),
+            *(6.85 * scale, 5.3, 32, 2.5, 0.5, 15_000, True, False, 4.0, 0.8),
+            *(31_000, 0.8),
+        ),
+        SiteJobKind(
+            QueuePolicy("renders", SERVICE_NAME, 1, 2, 3.0, 1.0),
+            *(1.72 * scale, 13.0, 76, 8.5, 0.3, 52_000, True, True, 3.0, 0.9),
+            *(140_000, 0.6),
+        ),
+        SiteJobKind(
+            QueuePolicy("batches", SERVICE_NAME, 2, 3, 3.0, 3.0),
+            *(2.1 * scale, 38.0, 230, 6.1, 0.3, 11_000, False, True, 1.0, 0.3),
+            29_000,
+        ),
+    )
+
+
 @dataclass(frozen=True, slots=True)
 class SiteArrival:
     """A job with its submission time and actual run time.
@@ -136,6 +163,11 @@
         rack_size: Number of workers in a rack.
         organisation_shares: Share of the jobs that each organisation submits.
         guaranteed_accelerators: Accelerators guaranteed to each organisation.
+        make_kinds: Returns the kinds of jobs at a multiple of their rates.
+        worker_memory_mb: Memory of a worker.
+        size: Load relative to the small deployments.
+        accelerators_per_task: Numbers of accelerators that a task of a gang
+            may have, equally likely.
     """
 
     name: str
@@ -143,12 +175,16 @@
     rack_size: int
     organisation_shares: dict[str, float] = field(default_factory=dict)
     guaranteed_accelerators: dict[str, int] = field(default_factory=dict)
+    make_kinds: Callable[[float], tuple[SiteJobKind, ...]] = make_job_kinds
+    worker_memory_mb: int = 512_000
+    size: float = 1.0
+    accelerators_per_task: tuple[int, ...] = ACCELERATORS_PER_TASK
 
     def make_configuration(self) -> Configuration:
         """Returns a configuration with one queue for each kind of job."""
         routes = tuple(
             QueueRoute(kind.policy, "jobs.example", f"/{kind.policy.name}/")
-            for kind in make_job_kinds(1.0)
+            for kind in self.make_kinds(1.0)
         )
         organisations = {
             name: Organisation(name, frozenset(), count)
@@ -168,6 +204,17 @@
 TAUVERK = SiteFleet(
     "tauverk", 24, 8, ORGANISATION_SHARES, ORGANISATION_GUARANTEES
 )
+LARGE = SiteFleet(
+    "armor-large",
+    270,
+    20,
+    ORGANISATION_SHARES,
+    {"large": 280, "second": 160, "third": 80, "small": 40},
+    make_large_job_kinds,
+    worker_memory_mb=262_144,
+    size=3.5,
+    accelerators_per_task=LARGE_ACCELERATORS_PER_TASK,
+)
 
 
 class _SiteArrivalGenerator:
@@ -205,22 +252,28 @@
         width = round(rng.lognormvariate(0, 0.8) * kind.width / 1.38)
         width = max(1, min(kind.widest, width))
         accelerators_per_task = (
-            rng.choice(ACCELERATORS_PER_TASK) if kind.is_gang else 1
+            rng.choice(self._fleet.accelerators_per_task) if kind.is_gang else 1
+        )
+        is_one_rack = rng.random() < kind.one_rack_share
+        racks = (
+            1
+            if is_one_rack
+            else self._fleet.worker_count / (self._fleet.rack_size)
         )
-        while width * accelerators_per_task > 8 * self._fleet.rack_size:
-            width -= 1
+        limit = int(8 * self._fleet.rack_size * racks)
+        width = min(width, max(1, limit // accelerators_per_task))
         run_s = kind.run_s * rng.lognormvariate(0, kind.spread)
         organisation_names = list(self._fleet.organisation_shares)
         organisation_weights = list(self._fleet.organisation_shares.values())
         step = Step(
             count=width,
             cpu_millis=kind.cpu_millis,
-            memory_mb=4_000,
+            memory_mb=kind.memory_mb,
             accelerators=accelerators_per_task,
             estimated_s=kind.run_s * rng.lognormvariate(0, 1.0),
             is_checkpointing=kind.is_checkpointing,
             is_gang=kind.is_gang and width > 1,
-            is_one_rack=kind.is_gang and width > 1,
+            is_one_rack=kind.is_gang and width > 1 and is_one_rack,
         )
         request = JobRequest(
             job_id=f"{self._job_count:016x}",
@@ -249,7 +302,7 @@
     return _build_scene(
         "calm",
         _SiteArrivalGenerator(fleet, seed).generate_arrivals(
-            make_job_kinds(0.41)
+            fleet.make_kinds(0.41)
         ),
     )
 
@@ -257,9 +310,9 @@
 def busy(fleet: SiteFleet, seed: int) -> SiteScene:
     """80 % of the rates of a loaded day, and 130 % for 6 seconds."""
     generator = _SiteArrivalGenerator(fleet, seed)
-    arrivals = generator.generate_arrivals(make_job_kinds(0.8))
+    arrivals = generator.generate_arrivals(fleet.make_kinds(0.8))
     arrivals += generator.generate_arrivals(
-        make_job_kinds(0.5), start_s=12.0, end_s=18.0
+        fleet.make_kinds(0.5), start_s=12.0, end_s=18.0
     )
     return _build_scene("busy", arrivals)
 
@@ -267,8 +320,8 @@
 def flood_of_batch(fleet: SiteFleet, seed: int) -> SiteScene:
     """A burst of batches at four times a loaded day's rate, for 8 seconds."""
     generator = _SiteArrivalGenerator(fleet, seed)
-    arrivals = generator.generate_arrivals(make_job_kinds(0.6))
-    batches = replace(make_job_kinds(1.0)[2], rate=2.4)
+    arrivals = generator.generate_arrivals(fleet.make_kinds(0.6))
+    batches = replace(fleet.make_kinds(1.0)[2], rate=2.4 * fleet.size)
     arrivals += generator.generate_arrivals((batches,), start_s=8.0, end_s=16.0)
     return _build_scene("flood_of_batch", arrivals)
 
@@ -276,18 +329,36 @@
 def large_gangs(fleet: SiteFleet, seed: int) -> SiteScene:
     """A burst of wide render gangs, for 5 seconds."""
     generator = _SiteArrivalGenerator(fleet, seed)
-    arrivals = generator.generate_arrivals(make_job_kinds(0.6))
-    renders = replace(make_job_kinds(1.0)[1], rate=1.0, width=8.0)
+    arrivals = generator.generate_arrivals(fleet.make_kinds(0.6))
+    renders = replace(
+        fleet.make_kinds(1.0)[1],
+        rate=fleet.size,
+        width=8.0 if fleet.size == 1.0 else 26.0,
+    )
     arrivals += generator.generate_arrivals(
         (renders,), start_s=10.0, end_s=15.0
     )
     return _build_scene("large_gangs", arrivals)
 
 
+def wide_gangs_beside_batches(fleet: SiteFleet, seed: int) -> SiteScene:
+    """Floods of checks, batches and render gangs, then fewer workers."""
+    generator = _SiteArrivalGenerator(fleet, seed)
+    kinds = fleet.make_kinds(1.0)
+    arrivals = generator.generate_arrivals(kinds)
+    arrivals += generator.generate_arrivals(kinds[:1], start_s=1.0, end_s=7.0)
+    arrivals += generator.generate_arrivals(kinds[2:], start_s=3.3, end_s=9.2)
+    renders = replace(kinds[1], rate=1.6 * kinds[1].rate)
+    arrivals += generator.generate_arrivals((renders,), start_s=8, end_s=11.1)
+    arrivals += generator.generate_arrivals(fleet.make_kinds(8.0)[1:], end_s=1)
+    fault = WorkerFault(13.0, 21.0, 0.12, "lost")
+    return _build_scene("wide_gangs_beside_batches", arrivals, fault)
+
+
 def lost_workers(fleet: SiteFleet, seed: int) -> SiteScene:
     """A fifth of the workers is lost for 6 seconds."""
     arrivals = _SiteArrivalGenerator(fleet, seed).generate_arrivals(
-        make_job_kinds(0.6)
+        fleet.make_kinds(0.6)
     )
     fault = WorkerFault(10.0, 6.0, 0.2, "lost")
     return _build_scene("lost_workers", arrivals, fault)
@@ -296,7 +367,7 @@
 def failing_workers(fleet: SiteFleet, seed: int) -> SiteScene:
     """All runs fail on a tenth of the workers, and others are slow."""
     arrivals = _SiteArrivalGenerator(fleet, seed).generate_arrivals(
-        make_job_kinds(0.6), failing_job_share=0.03
+        fleet.make_kinds(0.6), failing_job_share=0.03
     )
     return _build_scene(
         "failing_workers",
@@ -312,6 +383,7 @@
     busy,
     flood_of_batch,
     large_gangs,
+    wide_gangs_beside_batches,
     lost_workers,
     failing_workers,
 )
--- a/benchmarks/site_simulation.py
+++ b/benchmarks/site_simulation.py
@@ -157,11 +157,14 @@
             f"w{n:02}": SimpleNamespace(
                 report=WorkerReport(
                     *(f"w{n:02}", 1, SERVICE_NAME, "", 0, "z1", False),
-                    *(128_000, 512_000, 8, ("a", f"r{n // fleet.rack_size}")),
+                    *(128_000, fleet.worker_memory_mb, 8),
+                    ("a", f"r{n // fleet.rack_size}"),
                 ),
                 dispatcher=SimpleNamespace(
-                    get_lost_work_s=self._get_lost_work_s
+                    get_lost_work_s=self._get_lost_work_s,
+                    get_elapsed_s=self._get_elapsed_s,
                 ),
+                running={},
             )
             for n in range(fleet.worker_count)
         }
@@ -392,9 +395,12 @@
         outcome.ended_s = self._clock.now_s
         outcome.state = unit.job.state
 
-    def _get_lost_work_s(self, task: Task) -> float:
+    def _get_elapsed_s(self, task: Task) -> float:
         run_started_s = self._run_started_s.get(task.task_id, self._clock.now_s)
-        elapsed_s = self._clock.now_s - run_started_s
+        return self._clock.now_s - run_started_s
+
+    def _get_lost_work_s(self, task: Task) -> float:
+        elapsed_s = self._get_elapsed_s(task)
         if not task.unit.spec.is_checkpointing:
             return elapsed_s
         return min(elapsed_s, CHECKPOINT_LOSS_S)
