--- a/harness/mutations.py
+++ b/harness/mutations.py
@@ -251,6 +251,41 @@
         "tests/site/test_upkeep.py"
         "::test_machine_with_work_is_emptied_before_its_upkeep",
     ),
+    Mutation(
+        "site: a unit without attempts left is not started",
+        "lagoonbeam/site/ready_queue.py",
+        "                and not has_used_up_attempts("
+        "unit, self.get_policy(unit.job))",
+        "                and True",
+        "tests/site/test_planner.py"
+        "::test_unit_that_used_up_its_attempts_is_not_started_again",
+    ),
+    Mutation(
+        "site: workers of an evacuated zone get no runs",
+        "lagoonbeam/site/fleet.py",
+        "            and session.report.availability_zone\n"
+        "            not in self._list_evacuated_zones()",
+        "            and True",
+        "tests/site/test_fleet.py"
+        "::test_workers_of_an_evacuated_zone_get_no_runs",
+    ),
+    Mutation(
+        "site: no start on a worker that was closed while journaling",
+        "lagoonbeam/site/run_launcher.py",
+        "            if not self._fleet.accepts_runs(placement.worker)",
+        "            if False",
+        "tests/site/test_fleet.py"
+        "::test_gang_is_withdrawn_if_a_worker_is_closed_while_journaling",
+    ),
+    Mutation(
+        "site: narrow work does not starve a wide gang",
+        "lagoonbeam/site/backfill.py",
+        "            and (hold.policy.priority < policy.priority"
+        " or hold is oldest)",
+        "            and False",
+        "tests/site/test_backfill.py"
+        "::test_wide_gang_starts_although_narrow_tasks_wait",
+    ),
     Mutation(
         "site: an idempotency key names one job",
         "lagoonbeam/site/job_api.py",
--- a/lagoonbeam/site/advice.py
+++ b/lagoonbeam/site/advice.py
@@ -16,8 +16,14 @@
 from lagoonbeam.errors import LagoonbeamError
 from lagoonbeam.site.decision_log import DecisionLog
 from lagoonbeam.site.events import Event
+from lagoonbeam.site.jobs import PlacementUnit
 from lagoonbeam.site.journal_follower import add_jitter
 from lagoonbeam.site.platform_interface import AdviceService
+from lagoonbeam.site.worker_capacity import (
+    CapacityMap,
+    get_step_id,
+    has_required_label,
+)
 
 MAX_WORKERS_PER_REQUEST = 30
 """Workers named in one request; within the platform's service objectives."""
@@ -133,3 +139,28 @@
         )
         self.changed.set()
         self.changed = anyio.Event()
+
+    def restrict_to_ticketed(
+        self, unit: PlacementUnit, capacities: CapacityMap
+    ) -> CapacityMap:
+        """Returns workers with a ticket; requests tickets for others if few."""
+        step_id = get_step_id(unit)
+        tickets = self.get_tickets(step_id)
+        ticketed = {
+            name: free for name, free in capacities.items() if name in tickets
+        }
+        count = len(unit.tasks)
+        if sum(c.count_fitting(unit, count) for c in ticketed.values()) < count:
+            by_fit = sorted(
+                (
+                    c
+                    for c in capacities.values()
+                    if has_required_label(c.report, unit.spec)
+                ),
+                key=lambda free: -free.count_fitting(unit, count),
+            )
+            self.request_tickets(
+                step_id,
+                [(c.report.worker, c.report.incarnation) for c in by_fit],
+            )
+        return ticketed
--- a/lagoonbeam/site/backfill.py
+++ b/lagoonbeam/site/backfill.py
@@ -4,16 +4,18 @@
 piece of capacity as soon as it is released. Under a queue of narrow work, a
 gang would never find its workers. Each waiting gang therefore holds the
 capacity that is expected to be free for it the earliest. Less urgent work may
-use that capacity only if it is expected to end before the gang can start, and
-so may other gangs of the same priority if the gang is the oldest of them.
+use that capacity only if it is expected to end before the gang can start. Gangs
+of the same priority leave it only to the oldest one whose job is late already.
 Holds bind neither more urgent work nor guarantees, which may evict others.
 """
 
 from __future__ import annotations
 
+import math
 from collections import defaultdict
 from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass
+from itertools import chain
 
 from lagoonbeam.site.jobs import PlacementUnit
 from lagoonbeam.site.model import QueuePolicy
@@ -24,7 +26,7 @@
     has_required_label,
 )
 
-MAX_HOLD_AGE_S = 1.0
+MAX_HOLD_AGE_S = 0.5
 """Age after which a hold is planned again."""
 HOLD_EXPIRY_S = 3.0
 """Age at which a hold ends that no plan has renewed."""
@@ -42,6 +44,7 @@
     Attributes:
         unit: The gang.
         policy: Policy of its queue.
+        is_late: Whether its job would miss its objective if it started now.
         tasks_by_worker: Number of its tasks that each worker is held for.
         start_s: Monotonic time at which all of it is expected to be free.
         planned_at_s: Monotonic time at which the hold was planned.
@@ -49,14 +52,21 @@
 
     unit: PlacementUnit
     policy: QueuePolicy
+    is_late: bool
     tasks_by_worker: dict[str, int]
     start_s: float
     planned_at_s: float
 
     @property
-    def accepted_at_s(self) -> float:
-        """Wall clock time at which the gang's job was accepted."""
-        return self.unit.job.request.accepted_at_s
+    def precedence(self) -> tuple[int, bool, float]:
+        """Sort key: more urgent gangs first, then late ones, then by age."""
+        accepted_at_s = self.unit.job.request.accepted_at_s
+        return (self.policy.priority, not self.is_late, accepted_at_s)
+
+
+def list_held_workers(holds: Iterable[CapacityHold]) -> set[str]:
+    """Returns the workers on which gangs hold capacity."""
+    return set(chain.from_iterable(hold.tasks_by_worker for hold in holds))
 
 
 ReleaseLookup = Callable[[str], Sequence[Release]]
@@ -68,7 +78,8 @@
     capacities: CapacityMap,
     get_releases: ReleaseLookup,
     *,
-    in_one_rack: bool,
+    is_late: bool,
+    allow_nonlocal: bool,
     now_s: float,
 ) -> CapacityHold | None:
     """Chooses the workers that can run a gang the earliest.
@@ -78,34 +89,39 @@
         policy: Policy of its queue.
         capacities: Free capacity, less what is held for other gangs.
         get_releases: Returns the expected ends on a worker, earliest first.
-        in_one_rack: Whether all its tasks are to run in one rack.
+        is_late: Whether its job would miss its objective if it started now.
+        allow_nonlocal: See `place_unit`.
         now_s: Monotonic time.
 
     Returns:
         The hold, or None if the workers have too little capacity.
     """
+    step = unit.spec
     openings_by_rack: dict[str, list[tuple[float, str, int]]] = defaultdict(
         list
     )
-    step = unit.spec
     for worker, capacity in capacities.items():
         if not has_required_label(capacity.report, step):
             continue
         opening = _find_opening(unit, capacity, get_releases(worker), now_s)
         if opening is not None:
-            rack = capacity.report.rack if in_one_rack else ""
-            openings_by_rack[rack].append((opening[0], worker, opening[1]))
-    if in_one_rack and step.data_rack in openings_by_rack:
-        openings_by_rack = {step.data_rack: openings_by_rack[step.data_rack]}
+            openings_by_rack[capacity.report.rack].append(
+                (opening[0], worker, opening[1])
+            )
+    if step.data_rack in openings_by_rack and not allow_nonlocal:
+        groups = [openings_by_rack[step.data_rack]]
+    elif step.is_one_rack and len(unit.tasks) > 1 and not allow_nonlocal:
+        groups = list(openings_by_rack.values())
+    else:
+        groups = [list(chain.from_iterable(openings_by_rack.values()))]
     candidates = [
-        _choose_earliest(openings, len(unit.tasks))
-        for openings in openings_by_rack.values()
+        _choose_earliest(openings, len(unit.tasks)) for openings in groups
     ]
     complete = [candidate for candidate in candidates if candidate]
     if not complete:
         return None
     start_s, tasks_by_worker = min(complete, key=lambda each: each[0])
-    return CapacityHold(unit, policy, tasks_by_worker, start_s, now_s)
+    return CapacityHold(unit, policy, is_late, tasks_by_worker, start_s, now_s)
 
 
 def _find_opening(
@@ -176,7 +192,8 @@
         policy: QueuePolicy,
         allowed: CapacityMap,
         *,
-        in_one_rack: bool,
+        is_late: bool,
+        allow_nonlocal: bool,
     ) -> None:
         """Holds capacity for a gang that could not be placed.
 
@@ -184,7 +201,8 @@
             unit: The gang.
             policy: Policy of its queue.
             allowed: Free capacity that its priority may use.
-            in_one_rack: Whether all its tasks are to run in one rack.
+            is_late: Whether its job would miss its objective if it started now.
+            allow_nonlocal: See `place_unit`.
         """
         known = self._holds.get(unit.key)
         if (
@@ -195,23 +213,44 @@
         self._holds.pop(unit.key, None)
         if len(self._holds) >= MAX_HOLDS:
             return
+        # An empty hold keeps a gang that fits nowhere from being planned again.
+        empty_hold = CapacityHold(
+            unit, policy, is_late, {}, math.inf, self._now_s
+        )
         others = [
             hold
             for hold in self._holds.values()
-            if hold.policy.priority <= policy.priority
+            if hold.precedence < empty_hold.precedence
         ]
         hold = plan_hold(
             unit,
             policy,
             _subtract(allowed, others),
             self._get_releases,
-            in_one_rack=in_one_rack,
+            is_late=is_late,
+            allow_nonlocal=allow_nonlocal,
             now_s=self._now_s,
         )
-        if hold is not None:
-            self._holds[unit.key] = hold
-        if hold is not None or known is not None:
-            self._views.clear()
+        self._holds[unit.key] = hold or empty_hold
+        self._views.clear()
+
+    def starts_later(self, unit: PlacementUnit) -> bool:
+        """Whether a gang holds capacity that is not free yet.
+
+        It may fit elsewhere earlier than expected, which shows when the hold is
+        planned again; trying each waiting gang in each plan takes too long.
+        """
+        hold = self._holds.get(unit.key)
+        if (
+            hold is None
+            or self._now_s - hold.planned_at_s >= MAX_HOLD_AGE_S
+            or hold.start_s <= self._now_s
+        ):
+            return False
+        return not hold.tasks_by_worker or any(
+            self._capacities[worker].count_fitting(unit, count) < count
+            for worker, count in hold.tasks_by_worker.items()
+        )
 
     def release(self, unit: PlacementUnit) -> None:
         """Drops the hold of a gang that was placed."""
@@ -251,15 +290,17 @@
                 view[worker].allocate(unit, sign)
 
     def _find_oldest(self, policy: QueuePolicy) -> CapacityHold | None:
-        """Returns the hold of the oldest gang of a priority, if any."""
+        """Returns the hold of the oldest late gang of a priority, if any."""
         return min(
             (
                 hold
                 for hold in self._holds.values()
-                if hold.policy.service == policy.service
+                if hold.is_late
+                and hold.tasks_by_worker
+                and hold.policy.service == policy.service
                 and hold.policy.priority == policy.priority
             ),
-            key=lambda hold: hold.accepted_at_s,
+            key=lambda hold: hold.precedence,
             default=None,
         )
 
--- a/lagoonbeam/site/placement.py
+++ b/lagoonbeam/site/placement.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections import defaultdict
+from collections import defaultdict, deque
 from collections.abc import Iterable
 
 from lagoonbeam.site.jobs import PlacementUnit, Task
@@ -68,6 +68,41 @@
     return pack_unit(unit, eligible, packing) if allow_nonlocal else None
 
 
+class PackingCursor:
+    """Places equal single tasks one after the other in one packing order.
+
+    Sorting all workers for each of hundreds of equal tasks would take most of
+    a plan. It is valid as long as nothing else is placed in between.
+
+    Args:
+        first_unit: The first of the units, which consist of one task each.
+        capacities: Free capacity of the workers that they may use.
+        packing: Orders the workers.
+    """
+
+    def __init__(
+        self,
+        first_unit: PlacementUnit,
+        capacities: CapacityMap,
+        packing: PackingPolicy,
+    ):
+        eligible = (
+            capacity
+            for capacity in capacities.values()
+            if has_required_label(capacity.report, first_unit.spec)
+        )
+        self._remaining = deque(packing.sort_workers(first_unit, eligible))
+
+    def place(self, unit: PlacementUnit) -> Assignment | None:
+        """Returns a worker for a unit's task, or None if it fits on none."""
+        while self._remaining:
+            capacity = self._remaining[0]
+            if capacity.count_fitting(unit, 1):
+                return [(unit.tasks[0], capacity.report.worker)]
+            self._remaining.popleft()
+        return None
+
+
 def fits_locally_when_empty(
     unit: PlacementUnit, reports: Iterable[WorkerReport]
 ) -> bool:
--- a/lagoonbeam/site/planner.py
+++ b/lagoonbeam/site/planner.py
@@ -7,28 +7,26 @@
 from collections.abc import Mapping
 from itertools import chain
 
-from lagoonbeam.site.attempts import has_used_up_attempts
+from lagoonbeam.site.backfill import BackfillLimits, list_held_workers
 from lagoonbeam.site.delay_scheduling import DelayScheduling
 from lagoonbeam.site.events import Event
 from lagoonbeam.site.eviction import find_eviction, make_lost_work_function
-from lagoonbeam.site.guarantees import find_guaranteed_jobs
-from lagoonbeam.site.jobs import PlacementUnit, SiteJob
+from lagoonbeam.site.jobs import PlacementUnit
 from lagoonbeam.site.model import Configuration, QueuePolicy
-from lagoonbeam.site.ordering import RankingAttributes
-from lagoonbeam.site.placement import Assignment, place_unit
+from lagoonbeam.site.placement import Assignment, PackingCursor, place_unit
 from lagoonbeam.site.plan import MAX_STARTS_PER_PLAN, PLAN_TIME_LIMIT_S, Plan
 from lagoonbeam.site.planner_state import PlannerState
 from lagoonbeam.site.priority_limits import PriorityLimits
+from lagoonbeam.site.ready_queue import ReadyQueue
 from lagoonbeam.site.run_time_estimator import JobValue
 from lagoonbeam.site.session import WorkerSession
 from lagoonbeam.site.state import SiteState
 from lagoonbeam.site.worker_capacity import (
     CapacityMap,
+    StepKey,
     WorkerCapacity,
     get_placement_requirements,
-    get_step_id,
     get_step_key,
-    has_required_label,
 )
 
 
@@ -63,30 +61,42 @@
         self._usable_sessions = usable_sessions
         self._configuration = configuration
         self._now_s = planner_state.clock.read_wall_s()
-        self._policy_by_queue: dict[str, QueuePolicy] = {}
-        self._job_values: dict[tuple[str, int, int], JobValue] = {}
         self._unplaceable_keys: set[tuple[object, ...]] = set()
+        self._previous_key: tuple[object, ...] = ()
+        self._previous_capacities: CapacityMap | None = None
+        self._cursor: PackingCursor | None = None
+        self._equivalence_by_step: dict[StepKey, tuple[object, ...]] = {}
         self._service_capacities: dict[str, CapacityMap] = defaultdict(dict)
-        self._guaranteed_job_ids = find_guaranteed_jobs(
-            state.open_jobs(), configuration.organisations, self._get_policy
+        self._queue = ReadyQueue(
+            planner_state, state, configuration, self._now_s
         )
         self._limits = PriorityLimits(
             self._service_capacities,
-            self._guaranteed_job_ids,
+            self._queue.guaranteed_job_ids,
             configuration.count_guaranteed_accelerators(),
             planner_state.policies.reserve,
+            list_held_workers(planner_state.capacity_holds.values()),
         )
         self._capacities = self._compute_free_capacities()
         for name, free in self._capacities.items():
             self._service_capacities[free.report.service][name] = free
         self._locality = DelayScheduling(planner_state.estimator, self._now_s)
+        now_s = planner_state.clock.read_monotonic_s()
+        self._backfill = BackfillLimits(
+            planner_state.capacity_holds,
+            self._capacities,
+            lambda worker: planner_state.release_times.get(
+                state, sessions, worker, now_s
+            ),
+            now_s,
+        )
         self._plan = Plan()
 
     def run(self) -> Plan:
         """Places ready units by rank, within the bounds of one plan."""
         deadline_s = time.monotonic() + PLAN_TIME_LIMIT_S
         tried_unit_keys = self._planner_state.tried_unit_keys
-        for unit in self._sort_by_rank(self._find_ready_units()):
+        for unit in self._queue.list_ranked():
             if unit.key in tried_unit_keys:
                 continue
             if (
@@ -100,46 +110,77 @@
             if equivalence_key in self._unplaceable_keys:
                 self._log_waiting_behind_equivalent(unit)
                 continue
-            assignment = self._try_place(unit)
+            assignment = self._place_like_previous(unit, equivalence_key)
+            if assignment is None:
+                assignment = self._try_place(unit)
             if assignment is None:
                 if unit.key not in self._planner_state.reserved_capacity:
                     self._unplaceable_keys.add(equivalence_key)
                 continue
-            for _, worker in assignment:
-                self._capacities[worker].allocate(unit)
+            self._backfill.release(unit)
+            self._allocate(assignment, 1)
             self._add_nonevictable_tasks(unit)
             self._plan.starts.append((unit, assignment))
             self._planner_state.launching_assignments[unit.key] = assignment
         tried_unit_keys.clear()
         return self._plan
 
+    def _place_like_previous(
+        self, unit: PlacementUnit, equivalence_key: tuple[object, ...]
+    ) -> Assignment | None:
+        """Places a single task where the equal one before it was placed.
+
+        Returns:
+            None if the unit has to be placed by itself.
+        """
+        if equivalence_key != self._previous_key:
+            self._previous_key = equivalence_key
+            self._previous_capacities = None
+            self._cursor = None
+            return None
+        if (
+            self._previous_capacities is None
+            or len(unit.tasks) > 1
+            or unit.spec.data_rack
+        ):
+            return None
+        if self._cursor is None:
+            self._cursor = PackingCursor(
+                unit,
+                self._previous_capacities,
+                self._planner_state.policies.packing,
+            )
+        return self._cursor.place(unit)
+
     def _log_waiting_behind_equivalent(self, unit: PlacementUnit) -> None:
         """Logs that an urgent unit waits behind one with equal requirements."""
-        if self._get_policy(unit.job).priority == 0:
+        if self._queue.get_policy(unit.job).priority == 0:
             self._planner_state.log_waiting_unit(unit, behind_equal_needs=True)
 
-    def _get_policy(self, job: SiteJob) -> QueuePolicy:
-        """Returns a queue's current policy, or that of the job's acceptance."""
-        accepted = job.request.queue
-        policy = self._policy_by_queue.get(accepted.name)
-        if policy is None:
-            current = self._configuration.find_policy(accepted.name)
-            policy = self._policy_by_queue[accepted.name] = current or accepted
-        return policy
-
     def _get_equivalence_key(self, unit: PlacementUnit) -> tuple[object, ...]:
         """Returns a key; if one unit cannot be placed, no unit with it can."""
-        policy = self._get_policy(unit.job)
-        step = unit.spec
-        is_unique = (
-            unit.key in self._planner_state.reserved_capacity
-            or bool(self._planner_state.get_avoided_workers(unit))
-            or bool(step.max_per_worker)
-            or policy.is_advised
-            or unit.job.request.runs_once
+        key = unit.key
+        is_unique = key in self._planner_state.reserved_capacity or bool(
+            self._planner_state.get_avoided_workers(unit)
         )
         if is_unique:
-            return (unit.key,)
+            return (key,)
+        step_key = get_step_key(unit)
+        shared = self._equivalence_by_step.get(step_key)
+        if shared is None:
+            shared = self._make_step_equivalence(unit)
+            self._equivalence_by_step[step_key] = shared
+        return shared or (key,)
+
+    def _make_step_equivalence(self, unit: PlacementUnit) -> tuple[object, ...]:
+        """Returns the key shared by the units of a step; empty if none is."""
+        policy = self._queue.get_policy(unit.job)
+        if (
+            unit.spec.max_per_worker
+            or policy.is_advised
+            or unit.job.request.runs_once
+        ):
+            return ()
         return (
             policy.name,
             self._locality.may_run_nonlocal(
@@ -150,63 +191,13 @@
             *get_placement_requirements(unit),
         )
 
-    def _find_ready_units(self) -> list[PlacementUnit]:
-        launching_assignments = self._planner_state.launching_assignments
-        is_ready_by_step: dict[tuple[str, int, int], bool] = {}
-        ready_units: list[PlacementUnit] = []
-        for unit in self._state.waiting_units():
-            key = get_step_key(unit)
-            if key not in is_ready_by_step:
-                is_ready_by_step[key] = self._is_step_ready(unit)
-            if (
-                is_ready_by_step[key]
-                and unit.key not in launching_assignments
-                and not has_used_up_attempts(unit, self._get_policy(unit.job))
-            ):
-                ready_units.append(unit)
-        return ready_units
-
-    def _is_step_ready(self, unit: PlacementUnit) -> bool:
-        """Whether a unit is due and its step's predecessors are done."""
-        job = unit.job
-        if job.due_s(unit.occurrence) > self._now_s:
-            return False
-        predecessors = unit.spec.after
-        return all(job.is_step_done(unit.occurrence, n) for n in predecessors)
-
-    def _get_job_value(self, unit: PlacementUnit) -> JobValue:
-        key = get_step_key(unit)
-        if key not in self._job_values:
-            self._job_values[key] = self._planner_state.estimator.get_job_value(
-                unit, self._get_policy(unit.job), self._now_s
-            )
-        return self._job_values[key]
-
-    def _sort_by_rank(self, units: list[PlacementUnit]) -> list[PlacementUnit]:
-        ordering = self._planner_state.policies.ordering
-
-        def rank(unit: PlacementUnit) -> tuple[float, ...]:
-            job = unit.job
-            due_s = job.due_s(unit.occurrence)
-            return ordering.rank(
-                RankingAttributes(
-                    job.request.job_id in self._guaranteed_job_ids,
-                    unit.spec.is_long_running,
-                    self._get_policy(job).priority,
-                    self._get_job_value(unit),
-                    max(job.request.accepted_at_s, due_s),
-                )
-            )
-
-        return sorted(units, key=rank)
-
     def _compute_free_capacities(self) -> CapacityMap:
         usage_cache = self._planner_state.usage_cache
         usage_cache.clear_if_changed(self._state, self._configuration.version)
         capacities: CapacityMap = {}
         for name, session in self._usable_sessions.items():
             report = session.report
-            usage = usage_cache.get(self._state, name, self._get_policy)
+            usage = usage_cache.get(self._state, name, self._queue.get_policy)
             capacities[name] = WorkerCapacity(
                 report,
                 report.cpu_millis - usage.cpu_millis,
@@ -231,7 +222,7 @@
 
     def _try_place(self, unit: PlacementUnit) -> Assignment | None:
         """Places a unit; if it does not fit, may evict or reserve for it."""
-        policy = self._get_policy(unit.job)
+        policy = self._queue.get_policy(unit.job)
         service_capacities = self._service_capacities[policy.service]
         reserved_capacity = self._planner_state.reserved_capacity.pop(
             unit.key, None
@@ -251,8 +242,12 @@
             )
             return None
         capacities = self._get_allowed_capacities(unit, policy)
-        if policy.is_advised:
-            capacities = self._restrict_to_advised(unit, capacities)
+        if self._needs_hold(unit, policy) and self._backfill.starts_later(unit):
+            self._note_shortage(unit, policy)
+            return None
+        advice = self._planner_state.advice
+        if policy.is_advised and advice is not None:
+            capacities = advice.restrict_to_ticketed(unit, capacities)
         avoided = self._planner_state.get_avoided_workers(unit)
         if avoided:
             preferred = {
@@ -275,10 +270,15 @@
                 capacities if policy.is_advised else service_capacities,
                 allow_nonlocal,
             )
-        elif unit.spec.is_gang and self._get_job_value(unit) is JobValue.FULL:
-            self._limits.reserve_rack(unit, policy, capacities)
-        if self._get_job_value(unit) is JobValue.FULL:
-            self._plan.unplaced_steps.setdefault(policy.service, unit.spec)
+        elif self._needs_hold(unit, policy):
+            self._backfill.hold_for(
+                unit,
+                policy,
+                self._limits.get_allowed_capacities(policy),
+                is_late=self._queue.get_job_value(unit) is not JobValue.FULL,
+                allow_nonlocal=allow_nonlocal,
+            )
+        self._note_shortage(unit, policy)
         self._planner_state.log_waiting_unit(
             unit,
             priority=policy.priority,
@@ -291,6 +291,10 @@
         )
         return None
 
+    def _note_shortage(self, unit: PlacementUnit, policy: QueuePolicy) -> None:
+        if self._queue.get_job_value(unit) is JobValue.FULL:
+            self._plan.unplaced_steps.setdefault(policy.service, unit.spec)
+
     def _get_allowed_capacities(
         self, unit: PlacementUnit, policy: QueuePolicy
     ) -> CapacityMap:
@@ -302,15 +306,30 @@
             and self._locality.is_underused(policy.service, service_capacities)
         ):
             return service_capacities
-        return self._limits.get_allowed_capacities(policy)
+        allowed = self._limits.get_allowed_capacities(policy)
+        if self._may_evict(unit, policy):
+            return allowed
+        run_s = self._planner_state.estimator.estimate_run_s(unit)
+        return self._backfill.restrict(unit, policy, allowed, run_s)
+
+    def _needs_hold(self, unit: PlacementUnit, policy: QueuePolicy) -> bool:
+        """Whether a unit could starve, and its job is still worth running."""
+        return (
+            unit.spec.is_gang
+            and not policy.is_advised
+            and self._planner_state.policies.reserve.holds_capacity_for_gangs
+            and self._queue.get_job_value(unit) is not JobValue.NONE
+        )
 
     def _place_on(
         self, unit: PlacementUnit, capacities: CapacityMap, allow_nonlocal: bool
     ) -> Assignment | None:
         packing = self._planner_state.policies.packing
-        return place_unit(
+        assignment = place_unit(
             unit, capacities, allow_nonlocal=allow_nonlocal, packing=packing
         )
+        self._previous_capacities = None if assignment is None else capacities
+        return assignment
 
     def _may_evict(self, unit: PlacementUnit, policy: QueuePolicy) -> bool:
         """Whether other units may be evicted for a unit."""
@@ -319,41 +338,14 @@
         return policy.priority == 0 or has_run_before
 
     def _add_nonevictable_tasks(self, unit: PlacementUnit) -> None:
-        service = self._get_policy(unit.job).service
+        service = self._queue.get_policy(unit.job).service
         self._limits.add_nonevictable_tasks(unit, service, len(unit.tasks))
 
-    def _restrict_to_advised(
-        self, unit: PlacementUnit, capacities: CapacityMap
-    ) -> CapacityMap:
-        """Returns workers with a ticket; requests tickets for others if few."""
-        advice = self._planner_state.advice
-        if advice is None:
-            return capacities
-        step_id = get_step_id(unit)
-        tickets = advice.get_tickets(step_id)
-        ticketed = {
-            name: free for name, free in capacities.items() if name in tickets
-        }
-        count = len(unit.tasks)
-        if sum(c.count_fitting(unit, count) for c in ticketed.values()) < count:
-            by_fit = sorted(
-                (
-                    c
-                    for c in capacities.values()
-                    if has_required_label(c.report, unit.spec)
-                ),
-                key=lambda free: -free.count_fitting(unit, count),
-            )
-            advice.request_tickets(
-                step_id,
-                [(c.report.worker, c.report.incarnation) for c in by_fit],
-            )
-        return ticketed
-
     def _allocate(self, assignment: Assignment, sign: int) -> None:
         for task, worker in assignment:
             if worker in self._capacities:
                 self._capacities[worker].allocate(task.unit, sign)
+                self._backfill.allocate(task.unit, worker, sign)
 
     def _evict_for(
         self, unit: PlacementUnit, capacities: CapacityMap, allow_nonlocal: bool
--- a/lagoonbeam/site/planner_state.py
+++ b/lagoonbeam/site/planner_state.py
@@ -6,11 +6,13 @@
 
 from lagoonbeam.core.clock import Clock
 from lagoonbeam.site.advice import AdviceCache
+from lagoonbeam.site.backfill import CapacityHold
 from lagoonbeam.site.decision_log import DecisionLog
 from lagoonbeam.site.events import Event
 from lagoonbeam.site.jobs import PlacementUnit, SiteJob
 from lagoonbeam.site.placement import Assignment
 from lagoonbeam.site.policies import Policies, make_policies
+from lagoonbeam.site.release_times import ReleaseTimes
 from lagoonbeam.site.run_time_estimator import RunTimeEstimator
 from lagoonbeam.site.state import SiteState
 from lagoonbeam.site.worker_usage import WorkerUsageCache
@@ -51,6 +53,8 @@
         self.estimator = RunTimeEstimator()
         self.launching_assignments: dict[str, Assignment] = {}
         self.reserved_capacity: dict[str, Reservation] = {}
+        self.capacity_holds: dict[str, CapacityHold] = {}
+        self.release_times = ReleaseTimes(self.estimator.estimate_run_s)
         self.tried_unit_keys: set[str] = set()
         self.usage_cache = WorkerUsageCache()
         self.decisions = decisions
@@ -77,6 +81,13 @@
             and reserved_capacity.unit.job.is_open
             and not reserved_capacity.unit.has_placements
         }
+        self.capacity_holds = {
+            key: hold
+            for key, hold in self.capacity_holds.items()
+            if hold.unit.job.is_open
+            and not hold.unit.has_placements
+            and key not in self.launching_assignments
+        }
         self._avoided_workers = {
             key: workers
             for key, workers in self._avoided_workers.items()
--- a/lagoonbeam/site/policies.py
+++ b/lagoonbeam/site/policies.py
@@ -24,7 +24,7 @@
 
     ordering: str = "earning"
     packing: str = "compact"
-    reserve: str = "share"
+    reserve: str = "square_root"
     eviction: str = "least_lost"
 
 
--- a/lagoonbeam/site/priority_limits.py
+++ b/lagoonbeam/site/priority_limits.py
@@ -4,15 +4,12 @@
 
 from collections import defaultdict
 from collections.abc import Mapping, Set
-from itertools import chain
 
 from lagoonbeam.site.jobs import PlacementUnit
 from lagoonbeam.site.model import QueuePolicy
 from lagoonbeam.site.reserve import ReservePolicy
 from lagoonbeam.site.worker_capacity import (
     CapacityMap,
-    WorkerCapacity,
-    has_required_label,
 )
 from lagoonbeam.site.worker_usage import WorkerUsage
 
@@ -28,6 +25,7 @@
         guaranteed_job_ids: Identifiers of jobs that use a guarantee.
         guaranteed_total: Sum of all guarantees, in accelerators.
         reserve_policy: Bounds the workers that low-priority work may use.
+        held_workers: Workers that waiting gangs hold.
     """
 
     def __init__(
@@ -36,13 +34,14 @@
         guaranteed_job_ids: Set[str],
         guaranteed_total: int,
         reserve_policy: ReservePolicy,
+        held_workers: Set[str] = frozenset(),
     ):
         self._service_capacities = service_capacities
         self._guaranteed_job_ids = guaranteed_job_ids
         self._guaranteed_total = guaranteed_total
         self._reserve_policy = reserve_policy
+        self._held_workers = held_workers
         self._allowed_capacities: dict[tuple[str, int], CapacityMap] = {}
-        self._reserved_workers: dict[int, set[str]] = defaultdict(set)
         self.evictable_units: dict[str, dict[str, PlacementUnit]] = defaultdict(
             dict
         )
@@ -94,54 +93,14 @@
     def get_allowed_capacities(self, policy: QueuePolicy) -> CapacityMap:
         """Returns the free capacity that low-priority work may use.
 
-        Workers that run such work already come first, then whole racks in a
-        fixed order, so that the remaining workers stay free for urgent work.
+        Workers that run such work or are held for it come first, then whole
+        racks in a fixed order, so that the remaining workers stay free for
+        urgent work.
         """
         key = (policy.service, policy.priority)
         if key not in self._allowed_capacities:
             self._allowed_capacities[key] = self._select_capacities(policy)
-        capacities = self._allowed_capacities[key]
-        reserved_workers = set(
-            chain.from_iterable(
-                workers
-                for priority, workers in self._reserved_workers.items()
-                if priority < policy.priority
-            )
-        )
-        if not reserved_workers:
-            return capacities
-        return {
-            name: capacity
-            for name, capacity in capacities.items()
-            if name not in reserved_workers
-        }
-
-    def reserve_rack(
-        self, unit: PlacementUnit, policy: QueuePolicy, capacities: CapacityMap
-    ) -> None:
-        """Reserves a rack for the first waiting gang of a priority.
-
-        Lower priorities may not use it for the rest of the plan.
-        """
-        reserved_workers = self._reserved_workers[policy.priority]
-        if reserved_workers or not self._reserve_policy.reserves_rack_for_gang:
-            return
-        racks: dict[str, list[WorkerCapacity]] = defaultdict(list)
-        for capacity in capacities.values():
-            if has_required_label(capacity.report, unit.spec):
-                racks[capacity.report.rack].append(capacity)
-        if racks:
-            task_count = len(unit.tasks)
-            best_rack = max(
-                racks.values(),
-                key=lambda rack: sum(
-                    capacity.count_fitting(unit, task_count)
-                    for capacity in rack
-                ),
-            )
-            reserved_workers.update(
-                capacity.report.worker for capacity in best_rack
-            )
+        return self._allowed_capacities[key]
 
     def remove_evictable_unit(self, unit: PlacementUnit) -> None:
         """Removes a unit that is being evicted from the evictable ones."""
@@ -166,7 +125,8 @@
         names_by_preference = sorted(
             capacities,
             key=lambda name: (
-                not self.evictable_units.get(name),
+                not self.evictable_units.get(name)
+                and name not in self._held_workers,
                 capacities[name].report.rack,
                 name,
             ),
--- a/tests/site/test_policies.py
+++ b/tests/site/test_policies.py
@@ -28,7 +28,11 @@
     make_policies,
     parse_policy_names,
 )
-from lagoonbeam.site.reserve import FractionReserve, NoReserve
+from lagoonbeam.site.reserve import (
+    FractionReserve,
+    NoReserve,
+    SquareRootReserve,
+)
 from lagoonbeam.site.run_time_estimator import JobValue
 from lagoonbeam.site.state import SiteState
 from lagoonbeam.site.worker_capacity import make_empty_capacity
@@ -116,6 +120,15 @@
     assert NoReserve().count_allowed_workers(2, 20, 4) == 20
 
 
+def test_reserve_of_priority_1_grows_with_the_root_of_the_fleet() -> None:
+    for workers in (10, 24):
+        assert SquareRootReserve().count_allowed_workers(
+            1, workers, 0
+        ) == FractionReserve().count_allowed_workers(1, workers, 0)
+    assert SquareRootReserve().count_allowed_workers(1, 256, 40) == 208
+    assert SquareRootReserve().count_allowed_workers(2, 256, 40) == 164
+
+
 def test_eviction_policies() -> None:
     state = SiteState()
     now_s = time.time()
