Do not pack a gang of one task like the one before it

Cause, found by reading the change: a gang of one task that held capacity ends its hold by being placed.

Change: only tasks outside gangs continue in the packing order of the task before them; these never hold capacity.

--- a/lagoonbeam/site/planner.py
+++ b/lagoonbeam/site/planner.py
@@ -130,6 +130,9 @@
     ) -> Assignment | None:
         """Places a single task where the equal one before it was placed.
 
+        A gang of one task may end a hold by being placed, after which the
+        capacities that the one before it was placed on are no longer updated.
+
         Returns:
             None if the unit has to be placed by itself.
         """
@@ -140,7 +143,7 @@
             return None
         if (
             self._previous_capacities is None
-            or len(unit.tasks) > 1
+            or unit.spec.is_gang
             or unit.spec.data_rack
         ):
             return None
--- a/tests/site/test_backfill.py
+++ b/tests/site/test_backfill.py
@@ -215,6 +215,26 @@
     assert started == (["new"], [])
 
 
+def test_equal_gangs_of_one_task_do_not_overbook_a_held_worker() -> None:
+    """Half of a worker is held for a late gang when the whole is released."""
+    site = FullSite()
+    step = Step(count=2, accelerators=4, is_gang=True)
+    accept_job(
+        site.state, site.make_job("late", step, priority=1, waited_s=30.0)
+    )
+    small_step = Step(accelerators=4, is_gang=True)
+    for name in "abc":
+        accept_job(site.state, site.make_job(name, small_step, priority=1))
+    site.elapsed_s.update({0: 5.0, 1: 4.0, 2: 1.0, 3: 1.0})
+    assert site.plan() == []
+    late_hold = site.planner_state.capacity_holds["late.0.0.0"]
+    assert late_hold.tasks_by_worker == {"w0": 1, "w1": 1}
+    for _ in range(8):
+        site.end_one("w0")
+    started = [unit.job.request.job_id for unit in site.plan()]
+    assert started == ["a"]
+
+
 def test_urgent_work_may_use_held_capacity() -> None:
     site = FullSite()
     accept_wide_and_narrow(site)
