--- a/benchmarks/site_simulation.py
+++ b/benchmarks/site_simulation.py
@@ -19,7 +19,7 @@
     SiteScene,
     WorkerFault,
 )
-from lagoonbeam.core.clock import Clock
+from benchmarks.virtual_clock import VirtualClock
 from lagoonbeam.core.worker_health import WorkerHealthTracker
 from lagoonbeam.site.fleet import (
     INITIAL_QUARANTINE_S,
@@ -64,21 +64,6 @@
 """Time after which the runs of a lost worker end and may start elsewhere."""
 
 
-class VirtualClock(Clock):
-    """A clock that the simulation advances."""
-
-    def __init__(self) -> None:
-        self.now_s = 0.0
-
-    def read_wall_s(self) -> float:
-        """Returns the simulation's time."""
-        return self.now_s
-
-    def read_monotonic_s(self) -> float:
-        """Returns the simulation's time."""
-        return self.now_s
-
-
 @dataclass(slots=True)
 class SiteJobOutcome:
     """Progress of one arrival; times are -1 until they are known.
--- a/tests/test_site_end_to_end.py
+++ b/tests/test_site_end_to_end.py
@@ -111,26 +111,6 @@
     assert count_starts(site, path) == 2
 
 
-def test_evacuated_zone_gets_no_runs_also_after_a_takeover(site: Site) -> None:
-    site.set_zone_evacuated("z1", is_evacuated=True)
-    wait_until(
-        lambda: any(
-            line["event"] == "zones.evacuated"
-            for name in site.instance_names
-            for line in site.read_decision_log(name)
-        )
-    )
-    path = site.submit_job([make_step()])
-    active = site.find_active_instance()
-    site.kill_process(active)
-    survivor = next(name for name in site.instance_names if name != active)
-    wait_until(lambda: site.find_active_instance() != active)
-    time.sleep(1.0)
-    assert count_starts(site, path) == 0
-    site.set_zone_evacuated("z1", is_evacuated=False)
-    assert site.wait_for_state(path, instance=survivor) == "completed"
-
-
 def test_urgent_job_preempts_lent_capacity(site: Site) -> None:
     path = site.submit_job([make_step(3, gpu=8)], spec={"run_s": 8, "gpu": 8})
     wait_until(lambda: count_starts(site, path) == 3)
--- a/tests/test_site_machines.py
+++ b/tests/test_site_machines.py
@@ -1,4 +1,4 @@
-"""Upkeep waves and spare machines on a site of real processes and stand-ins."""
+"""Upkeep, spare machines and evacuated zones on a site of real processes."""
 
 from __future__ import annotations
 
@@ -8,7 +8,7 @@
 
 import pytest
 
-from harness.run_history import find_duplicate_runs
+from harness.run_history import count_events, find_duplicate_runs
 from harness.site import Site, SiteConfig, make_step
 
 
@@ -79,3 +79,23 @@
     )
     for path in paths:
         site.wait_for_state(path, timeout_s=60)
+
+
+def test_evacuated_zone_gets_no_runs_also_after_a_takeover(site: Site) -> None:
+    site.set_zone_evacuated("z1", is_evacuated=True)
+    wait_until(
+        lambda: any(
+            line["event"] == "zones.evacuated"
+            for name in site.instance_names
+            for line in site.read_decision_log(name)
+        )
+    )
+    path = site.submit_job([make_step()])
+    active = site.find_active_instance()
+    site.kill_process(active)
+    survivor = next(name for name in site.instance_names if name != active)
+    wait_until(lambda: site.find_active_instance() != active)
+    time.sleep(1.0)
+    assert count_events(site.read_worker_history(), path)["started"] == 0
+    site.set_zone_evacuated("z1", is_evacuated=False)
+    assert site.wait_for_state(path, instance=survivor) == "completed"
