Do not hold capacity for gangs by default

A long queue of gangs leaves lower priorities too little, and bounding the number of holds is not enough, since the smaller reserve of priority 1 takes from them too.

--- a/lagoonbeam/site/policies.py
+++ b/lagoonbeam/site/policies.py
@@ -24,7 +24,7 @@
 
     ordering: str = "earning"
     packing: str = "compact"
-    reserve: str = "square_root"
+    reserve: str = "share_without_holds"
     eviction: str = "least_lost"
 
 
--- a/lagoonbeam/site/reserve.py
+++ b/lagoonbeam/site/reserve.py
@@ -84,7 +84,10 @@
 
 @RESERVE_POLICIES.register("share_without_holds")
 class FractionReserveWithoutHolds(FractionReserve):
-    """Reserves workers, but holds none for gangs; a baseline."""
+    """Reserves a fraction of the workers, and holds none for gangs.
+
+    The default: with holds, a long queue of gangs leaves batches too little.
+    """
 
     holds_capacity_for_gangs = False
 
