Log each route that fails a store call, and how old the configuration is

Cause: a read that went through several routes left one line at most, and completed reads of the configuration left none, so 'waits add up' and 'read and not used' looked alike.

store.attempt_failed names each route without a usable answer, the time taken and the cause; configuration.in_force and request.refused tell how long ago the configuration was last known to be the newest; the gauge lagoonbeam_configuration_age_seconds shows the same. No decision is changed.

--- a/lagoonbeam/site/events.py
+++ b/lagoonbeam/site/events.py
@@ -77,8 +77,11 @@
     """A dependency became unavailable or is back."""
     STORE_ROUTE = "store.route"
     """The route of store calls changed (direct or by a peer)."""
+    STORE_ATTEMPT_FAILED = "store.attempt_failed"
+    """A store call had no usable answer on one route; cause, time taken."""
     CONFIGURATION_IN_FORCE = "configuration.in_force"
-    """A newer version of the configuration is in force."""
+    """A newer version of the configuration is in force; time since the last
+    complete read before."""
     CONFIGURATION_MALFORMED = "configuration.malformed"
     """A version of the configuration could not be decoded."""
     JOURNAL_REFUSED = "journal.refused"
--- a/lagoonbeam/site/instance.py
+++ b/lagoonbeam/site/instance.py
@@ -9,6 +9,7 @@
 import anyio
 import anyio.abc
 
+from lagoonbeam.core.clock import read_boot_time_s
 from lagoonbeam.errors import LagoonbeamError
 from lagoonbeam.site.decision_log import DecisionLog
 from lagoonbeam.site.dependency import DependencyMonitor
@@ -131,6 +132,7 @@
             scheduler = self._scheduler
             metrics.term.set(scheduler.token if scheduler else 0)
             metrics.configuration.set(self.service.configuration.version)
+            metrics.configuration_age_s.set(self.service.configuration_age_s)
             metrics.journal_age_s.set(self.follower.age_s)
             state = self.follower.state
             metrics.open_jobs.set(state.count_open_jobs())
@@ -168,17 +170,21 @@
 
     async def _read_configuration(self) -> None:
         version = self.service.configuration.version
+        age_s = self.service.configuration_age_s
+        read_started_s = read_boot_time_s()
         new_configuration = (
             await self._platform_services.configuration.wait_for_newer(
                 version, wait_s=CONFIGURATION_READ_WAIT_S
             )
         )
+        self.service.configuration_read_s = read_started_s
         if new_configuration is not None:
             self.service.configuration = new_configuration
             self._decisions.emit(
                 Event.CONFIGURATION_IN_FORCE,
                 version=new_configuration.version,
                 before=version,
+                age_s=round(age_s, 3),
                 queues=len(new_configuration.routes),
             )
 
--- a/lagoonbeam/site/job_service.py
+++ b/lagoonbeam/site/job_service.py
@@ -5,6 +5,7 @@
 import time
 from collections.abc import Iterator
 
+from lagoonbeam.core.clock import read_boot_time_s
 from lagoonbeam.errors import (
     DrainingError,
     LagoonbeamError,
@@ -56,6 +57,8 @@
 
     Attributes:
         configuration: The current configuration.
+        configuration_read_s: When the last complete read of the configuration
+            began; it contains all versions published before.
         is_draining: Whether the instance is shutting down.
     """
 
@@ -66,11 +69,17 @@
         decisions: DecisionLog,
     ):
         self.configuration = Configuration()
+        self.configuration_read_s = float("-inf")
         self.is_draining = False
         self._follower = follower
         self._appender = appender
         self._decisions = decisions
 
+    @property
+    def configuration_age_s(self) -> float:
+        """Seconds since the configuration was known to be the newest."""
+        return read_boot_time_s() - self.configuration_read_s
+
     @property
     def is_ready(self) -> bool:
         """Whether this instance should receive new callers."""
@@ -233,6 +242,7 @@
             reason=error.code,
             cause=str(error),
             version=self.configuration.version,
+            version_age_s=round(self.configuration_age_s, 3),
         )
 
     def log_internal_error(self, target: str, error: Exception) -> None:
--- a/lagoonbeam/site/metrics.py
+++ b/lagoonbeam/site/metrics.py
@@ -75,6 +75,9 @@
         )
         self.term = gauge("term", "Term held; 0 while following.")
         self.configuration = gauge("configuration_version", "In force.")
+        self.configuration_age_s = gauge(
+            "configuration_age_seconds", "Since the last complete read."
+        )
         self.journal_age_s = gauge("journal_age_seconds", "Age of the copy.")
         self.open_jobs = gauge("open_jobs", "Jobs that are not ended.")
         self.queued_jobs = gauge(
--- a/lagoonbeam/site/relay.py
+++ b/lagoonbeam/site/relay.py
@@ -65,6 +65,8 @@
 
     Attributes:
         peers: Returns the IP addresses of the peers that have joined.
+        on_failure: Called with the peer, the time taken and the cause when a
+            peer gets no usable answer from the store.
     """
 
     def __init__(self, own_host: str, port: int, seed_hosts: tuple[str, ...]):
@@ -75,6 +77,9 @@
         self._paused_until_s: dict[str, float] = {}
         self._last_successful_host = ""
         self.peers: Callable[[], tuple[str, ...]] = tuple
+        self.on_failure: Callable[[str, float, str], None] = (
+            lambda host, taken_s, cause: None
+        )
 
     async def call(self, call: RelayedCall) -> Response:
         """Makes a call through up to `MAX_PEERS_PER_CALL` peers in turn.
@@ -89,17 +94,21 @@
         lost_answer: ResponseLostError | None = None
         refusal: Response | None = None
         for host in self._list_candidate_hosts()[:MAX_PEERS_PER_CALL]:
+            started_s = time.monotonic()
             try:
                 response = await self._call_peer(host, call)
             except ResponseLostError as error:
                 lost_answer = error
-            except ServerUnreachableError:
-                pass
+                cause = error.detail
+            except ServerUnreachableError as error:
+                cause = error.detail
             else:
                 if response.status not in REFUSAL_STATUSES:
                     self._last_successful_host = host
                     return response
                 refusal = response
+                cause = f"the store answered {response.status}"
+            self.on_failure(host, time.monotonic() - started_s, cause)
             self._paused_until_s[host] = time.monotonic() + FAILED_PEER_PAUSE_S
         if lost_answer is not None:
             raise lost_answer
--- a/lagoonbeam/site/store_transport.py
+++ b/lagoonbeam/site/store_transport.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import time
+
 import anyio
 
 from lagoonbeam.core.http_client import HttpClient, Response
@@ -47,6 +49,7 @@
     ):
         self._client = HttpClient(host, port)
         self._relays = relays
+        relays.on_failure = self._log_failed_attempt
         self._probe_call = RelayedCall(
             "GET", probe_target, b"", PROBE_TIMEOUT_S
         )
@@ -126,10 +129,14 @@
                 self._set_direct(True, "")
 
     async def _call_direct_counted(self, call: RelayedCall) -> Response:
+        started_s = time.monotonic()
         try:
             response = await self.call_direct(call)
         except LagoonbeamError as error:
             self._count_call("direct", error.code)
+            self._log_failed_attempt(
+                "store", time.monotonic() - started_s, str(error)
+            )
             raise
         self._count_call("direct", str(response.status))
         return response
@@ -151,6 +158,16 @@
     def _count_call(self, route: str, result: str) -> None:
         self._decisions.metrics.store_calls.labels(route, result).inc()
 
+    def _log_failed_attempt(
+        self, host: str, taken_s: float, cause: str
+    ) -> None:
+        self._decisions.emit(
+            Event.STORE_ATTEMPT_FAILED,
+            host=host,
+            taken_s=round(taken_s, 3),
+            cause=cause,
+        )
+
     def _set_direct(self, is_direct: bool, cause: str) -> None:
         if is_direct != self._is_direct:
             self._is_direct = is_direct
