Read the store on the next route as soon as one is late

Cause: StoreTransport tried the routes of a read in turn, each with the whole time-out of a waiting read: 2.2 s on the own route, 2.5 s on each of three peers. A connection that had gone silent, or a peer that the store turns away as well, cost one of these, and they add up to 9.7 s; the configuration has to be in force within 2 s, and 7 s while the store is unstable.

Ruled out: a version read and not used (no configuration.malformed, and configuration.in_force follows each completed read), a stalled loop (in_force was as late as the answer).

Change: a read whose response has not begun 0.5 s after it is due is repeated directly over a new connection and, every 0.5 s, through the next peer, beside the attempts under way; the first usable answer is taken. What is late reads without a wait, and so does the first read after a failed one. A response that has begun to arrive is not repeated, so slow links carry no page twice.

--- a/lagoonbeam/core/http_client.py
+++ b/lagoonbeam/core/http_client.py
@@ -80,11 +80,16 @@
         self._is_complete = True
         self.is_reusable = self._parser.should_keep_alive()
 
-    async def send_request(self, data: bytes) -> Response:
+    async def send_request(
+        self, data: bytes, response_started: anyio.Event | None
+    ) -> Response:
         self._headers, self._body, self._is_complete = {}, bytearray(), False
         await self._stream.send(data)
         while not self._is_complete:
-            self._parser.feed_data(await self._stream.receive(READ_CHUNK_BYTES))
+            chunk = await self._stream.receive(READ_CHUNK_BYTES)
+            if response_started is not None:
+                response_started.set()
+            self._parser.feed_data(chunk)
         return Response(
             self._parser.get_status_code(), bytes(self._body), self._headers
         )
@@ -114,6 +119,7 @@
         body: bytes = b"",
         headers: Mapping[str, str] | None = None,
         timeout_s: float,
+        response_started: anyio.Event | None = None,
     ) -> Response:
         """Sends one request and returns its response.
 
@@ -123,6 +129,7 @@
             body: Request body.
             headers: Additional header fields.
             timeout_s: Timeout of the whole call, connecting included.
+            response_started: Set once a part of the response has arrived.
 
         Raises:
             ServerUnreachableError: If the request was not sent.
@@ -138,7 +145,7 @@
         connection = await self._connect(timeout_s)
         try:
             with anyio.fail_after(max(0.0, deadline_s - anyio.current_time())):
-                response = await connection.send_request(data)
+                response = await connection.send_request(data, response_started)
         except TimeoutError as error:
             await connection.close()
             await self.close()
--- a/lagoonbeam/site/instance.py
+++ b/lagoonbeam/site/instance.py
@@ -5,6 +5,7 @@
 import random
 import secrets
 from dataclasses import dataclass
+from functools import partial
 
 import anyio
 import anyio.abc
@@ -163,18 +164,28 @@
                 return
 
     async def _follow_configuration(self) -> None:
+        """Keeps the configuration up to date until cancelled.
+
+        A read after a failed one does not wait for a change, since versions
+        may have been published meanwhile.
+        """
         dependency_monitor = DependencyMonitor("configuration", self._decisions)
+        wait_s = 0.0
         while True:
-            if not await dependency_monitor.run(self._read_configuration):
+            is_read = await dependency_monitor.run(
+                partial(self._read_configuration, wait_s)
+            )
+            wait_s = CONFIGURATION_READ_WAIT_S if is_read else 0.0
+            if not is_read:
                 await anyio.sleep(add_jitter(RETRY_DELAY_S))
 
-    async def _read_configuration(self) -> None:
+    async def _read_configuration(self, wait_s: float) -> None:
         version = self.service.configuration.version
         age_s = self.service.configuration_age_s
         read_started_s = read_boot_time_s()
         new_configuration = (
             await self._platform_services.configuration.wait_for_newer(
-                version, wait_s=CONFIGURATION_READ_WAIT_S
+                version, wait_s=wait_s
             )
         )
         self.service.configuration_read_s = read_started_s
--- a/lagoonbeam/site/relay.py
+++ b/lagoonbeam/site/relay.py
@@ -4,8 +4,9 @@
 
 import random
 import time
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterator
 
+import anyio
 import msgspec
 
 from lagoonbeam.core.http_client import HttpClient, Response
@@ -81,6 +82,55 @@
             lambda host, taken_s, cause: None
         )
 
+    def take_hosts(self, max_hosts: int = MAX_PEERS_PER_CALL) -> Iterator[str]:
+        """Yields up to `max_hosts` peers to try for one call.
+
+        A peer is not used again for a while once the next one is taken.
+        """
+        for host in self._list_candidate_hosts()[:max_hosts]:
+            yield host
+            self._pause(host)
+
+    async def call_peer(
+        self,
+        host: str,
+        call: RelayedCall,
+        *,
+        response_started: anyio.Event | None = None,
+        uses_new_connection: bool = False,
+    ) -> Response:
+        """Makes a call through one peer.
+
+        Args:
+            host: The peer.
+            call: The call.
+            response_started: Set once a part of the response has arrived.
+            uses_new_connection: Whether to close the connections to the peer
+                that are open and idle, which may have gone silent.
+
+        Returns:
+            The store's response, which may be a refusal.
+
+        Raises:
+            ServerUnreachableError: If the call was not made.
+            ResponseLostError: If the call may have been executed.
+        """
+        client = self._get_client(host)
+        if uses_new_connection:
+            await client.close()
+        started_s = time.monotonic()
+        try:
+            response = await self._request_relay(client, call, response_started)
+        except LagoonbeamError as error:
+            self.on_failure(host, time.monotonic() - started_s, str(error))
+            raise
+        if response.status in REFUSAL_STATUSES:
+            cause = f"the store answered {response.status}"
+            self.on_failure(host, time.monotonic() - started_s, cause)
+        else:
+            self._last_successful_host = host
+        return response
+
     async def call(self, call: RelayedCall) -> Response:
         """Makes a call through up to `MAX_PEERS_PER_CALL` peers in turn.
 
@@ -93,23 +143,17 @@
         """
         lost_answer: ResponseLostError | None = None
         refusal: Response | None = None
-        for host in self._list_candidate_hosts()[:MAX_PEERS_PER_CALL]:
-            started_s = time.monotonic()
+        for host in self.take_hosts():
             try:
-                response = await self._call_peer(host, call)
+                response = await self.call_peer(host, call)
             except ResponseLostError as error:
                 lost_answer = error
-                cause = error.detail
-            except ServerUnreachableError as error:
-                cause = error.detail
+            except ServerUnreachableError:
+                continue
             else:
                 if response.status not in REFUSAL_STATUSES:
-                    self._last_successful_host = host
                     return response
                 refusal = response
-                cause = f"the store answered {response.status}"
-            self.on_failure(host, time.monotonic() - started_s, cause)
-            self._paused_until_s[host] = time.monotonic() + FAILED_PEER_PAUSE_S
         if lost_answer is not None:
             raise lost_answer
         if refusal is not None:
@@ -128,25 +172,38 @@
             available, key=lambda host: host != self._last_successful_host
         )
 
-    async def _call_peer(self, host: str, call: RelayedCall) -> Response:
-        client = self._clients.setdefault(host, HttpClient(host, self._port))
+    def _pause(self, host: str) -> None:
+        self._paused_until_s[host] = time.monotonic() + FAILED_PEER_PAUSE_S
+
+    def _get_client(self, host: str) -> HttpClient:
+        return self._clients.setdefault(host, HttpClient(host, self._port))
+
+    async def _request_relay(
+        self,
+        client: HttpClient,
+        call: RelayedCall,
+        response_started: anyio.Event | None,
+    ) -> Response:
         response = await client.call(
             "POST",
             RELAY_TARGET,
             body=_ENCODER.encode(call),
             timeout_s=call.timeout_s + RELAY_HOP_ALLOWANCE_S,
+            response_started=response_started,
         )
         if response.status == 504:
-            raise ResponseLostError(f"peer {host} got no answer from the store")
+            raise ResponseLostError(
+                f"peer {client.host} got no answer from the store"
+            )
         if response.status != 200:
             raise ServerUnreachableError(
-                f"peer {host} answered {response.status}"
+                f"peer {client.host} answered {response.status}"
             )
         try:
             relayed = _RESPONSE_DECODER.decode(response.body)
         except msgspec.MsgspecError as error:
             raise ResponseLostError(
-                f"malformed answer of peer {host}: {error}"
+                f"malformed answer of peer {client.host}: {error}"
             ) from error
         return Response(relayed.status, relayed.body)
 
--- a/lagoonbeam/site/store_transport.py
+++ b/lagoonbeam/site/store_transport.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import time
+from collections.abc import Awaitable, Iterator
+from dataclasses import dataclass
 
 import anyio
 
@@ -16,16 +18,41 @@
 from lagoonbeam.site.decision_log import DecisionLog
 from lagoonbeam.site.events import Event
 from lagoonbeam.site.relay import REFUSAL_STATUSES, PeerRelays, RelayedCall
+from lagoonbeam.site.staggered_attempts import Attempt, run_staggered
 
 CALL_TIMEOUT_S = 1.2
 """Default timeout of a call; a store slowed down a hundredfold answers in
 0.4 s."""
+LATE_READ_S = 0.5
+"""Seconds without the beginning of a response after which a read is made on
+the next route as well; a store slowed down a hundredfold answers in 0.4 s."""
+DIRECT_READ_LEAD_S = 0.1
+"""Seconds by which a late read is repeated directly, over a new connection,
+before it is made through a peer."""
+MAX_PEERS_PER_READ = 6
+"""Maximum number of peers tried for one read."""
 PROBE_INTERVAL_S = 0.5
 """Seconds between probes of the direct route while calls go through peers."""
 PROBE_TIMEOUT_S = 0.6
 """Timeout of a probe; a store slowed down a hundredfold answers in 0.5 s."""
 
 
+@dataclass(frozen=True, slots=True)
+class StoreRead:
+    """A read that the store may answer only once there is something to read.
+
+    Attributes:
+        target: Path and query string of the read that waits.
+        immediate_target: Those of the same read without a wait, which is made
+            once the waiting one is late.
+        wait_s: Longest time that the store waits.
+    """
+
+    target: str
+    immediate_target: str
+    wait_s: float = 0.0
+
+
 class StoreTransport:
     """Calls the store directly, or through a peer while that fails.
 
@@ -58,12 +85,7 @@
 
     async def call_direct(self, call: RelayedCall) -> Response:
         """Calls the store directly."""
-        return await self._client.call(
-            call.method,
-            call.target,
-            body=call.body,
-            timeout_s=call.timeout_s,
-        )
+        return await self._request_store(call, None)
 
     async def call(
         self,
@@ -112,6 +134,85 @@
             raise direct_error
         return self._raise_if_refused(response, target)
 
+    async def read(self, read: StoreRead) -> Response:
+        """Makes a read, on other routes as well once a route is late.
+
+        A route that does not answer delays the read by `LATE_READ_S` at most.
+        New connections replace those that were open and may have gone silent.
+
+        Raises:
+            StoreBusyError: If the store rejected the read.
+            UnavailableError: If no route led to the store.
+        """
+        return await run_staggered(self._list_read_attempts(read))
+
+    def _list_read_attempts(
+        self, read: StoreRead
+    ) -> Iterator[Attempt[Response]]:
+        waiting_call = RelayedCall(
+            "GET", read.target, b"", CALL_TIMEOUT_S + read.wait_s
+        )
+        late_call = RelayedCall(
+            "GET", read.immediate_target, b"", CALL_TIMEOUT_S
+        )
+        patience_s = read.wait_s + LATE_READ_S
+        hosts = self._relays.take_hosts(MAX_PEERS_PER_READ)
+        direct = self._make_direct_attempt(waiting_call, patience_s)
+        if self._is_direct:
+            yield direct
+        elif (host := next(hosts, None)) is not None:
+            yield self._make_peer_attempt(host, waiting_call, patience_s)
+        if not isinstance(direct.error, StoreBusyError):
+            yield self._make_direct_attempt(
+                late_call, DIRECT_READ_LEAD_S, uses_new_connection=True
+            )
+        for host in hosts:
+            yield self._make_peer_attempt(
+                host, late_call, LATE_READ_S, uses_new_connection=True
+            )
+
+    def _make_direct_attempt(
+        self,
+        call: RelayedCall,
+        patience_s: float,
+        *,
+        uses_new_connection: bool = False,
+    ) -> Attempt[Response]:
+        async def run(response_started: anyio.Event) -> Response:
+            if uses_new_connection:
+                await self._client.close()
+            response = self._raise_if_refused(
+                await self._call_direct_counted(call, response_started),
+                call.target,
+            )
+            self._set_direct(True, "")
+            return response
+
+        return Attempt(run, patience_s)
+
+    def _make_peer_attempt(
+        self,
+        host: str,
+        call: RelayedCall,
+        patience_s: float,
+        *,
+        uses_new_connection: bool = False,
+    ) -> Attempt[Response]:
+        async def run(response_started: anyio.Event) -> Response:
+            relayed_response = self._relays.call_peer(
+                host,
+                call,
+                response_started=response_started,
+                uses_new_connection=uses_new_connection,
+            )
+            response = self._raise_if_refused(
+                await self._count_result("peer", relayed_response), call.target
+            )
+            self._set_direct(False, "a peer answered a read first")
+            return response
+
+        return Attempt(run, patience_s)
+
     async def probe_direct_route(self) -> None:
         """Probes the direct route and returns to it once it works.
 
@@ -128,26 +229,44 @@
             if response.status not in REFUSAL_STATUSES:
                 self._set_direct(True, "")
 
-    async def _call_direct_counted(self, call: RelayedCall) -> Response:
+    async def _call_direct_counted(
+        self, call: RelayedCall, response_started: anyio.Event | None = None
+    ) -> Response:
         started_s = time.monotonic()
         try:
-            response = await self.call_direct(call)
+            return await self._count_result(
+                "direct", self._request_store(call, response_started)
+            )
         except LagoonbeamError as error:
-            self._count_call("direct", error.code)
             self._log_failed_attempt(
                 "store", time.monotonic() - started_s, str(error)
             )
             raise
-        self._count_call("direct", str(response.status))
-        return response
 
     async def _call_through_peer(self, call: RelayedCall) -> Response:
+        return await self._count_result("peer", self._relays.call(call))
+
+    async def _request_store(
+        self, call: RelayedCall, response_started: anyio.Event | None
+    ) -> Response:
+        return await self._client.call(
+            call.method,
+            call.target,
+            body=call.body,
+            timeout_s=call.timeout_s,
+            response_started=response_started,
+        )
+
+    async def _count_result(
+        self, route: str, call: Awaitable[Response]
+    ) -> Response:
+        store_calls = self._decisions.metrics.store_calls
         try:
-            response = await self._relays.call(call)
+            response = await call
         except LagoonbeamError as error:
-            self._count_call("peer", error.code)
+            store_calls.labels(route, error.code).inc()
             raise
-        self._count_call("peer", str(response.status))
+        store_calls.labels(route, str(response.status)).inc()
         return response
 
     def _raise_if_refused(self, response: Response, target: str) -> Response:
@@ -155,9 +274,6 @@
             raise StoreBusyError(f"{target}: store answered {response.status}")
         return response
 
-    def _count_call(self, route: str, result: str) -> None:
-        self._decisions.metrics.store_calls.labels(route, result).inc()
-
     def _log_failed_attempt(
         self, host: str, taken_s: float, cause: str
     ) -> None:
