Do not apply appended records again from a page that was read before

The page was then applied whole, from its own first offset, and set the offset back to its end. Usually it holds the last append only, which changes nothing twice. Through slow routes it held the placement of run 1, its failure and the placement of run 2: run 1 was placed anew, and its failure counted twice. Placements, ends and checkpoints could go back in the same way.

Change: records of a page below the replica's offset are skipped; the offset never goes back.

The new test failed before with failures 2, expected 1: test_late_page_does_not_apply_appended_records_again.

--- a/lagoonbeam/site/journal_follower.py
+++ b/lagoonbeam/site/journal_follower.py
@@ -16,7 +16,11 @@
 from lagoonbeam.site.decision_log import DecisionLog
 from lagoonbeam.site.dependency import DependencyMonitor
 from lagoonbeam.site.events import Event
-from lagoonbeam.site.platform_interface import JournalStore, Snapshot
+from lagoonbeam.site.platform_interface import (
+    JournalPage,
+    JournalStore,
+    Snapshot,
+)
 from lagoonbeam.site.records import (
     Record,
     TermClaimed,
@@ -106,9 +110,7 @@
                 self._handle_read_failure(error)
                 await anyio.sleep(add_jitter(RETRY_DELAY_S))
                 continue
-            for data in page.records:
-                self._apply_encoded(data)
-            self.offset = page.first_offset + len(page.records)
+            self._apply_page(page)
             self._store_monitor.report_success()
             if self.offset >= page.end_offset:
                 self.last_synced_s = read_boot_time_s()
@@ -204,6 +206,17 @@
             return 0.0
         return ACTIVE_READ_WAIT_S if self.is_active_scheduler else READ_WAIT_S
 
+    def _apply_page(self, page: JournalPage) -> None:
+        """Applies the records of a page that are not applied yet.
+
+        Appends may have been applied since the page was read. A record that is
+        applied again after later ones would undo them, or count twice.
+        """
+        applied_count = self.offset - page.first_offset
+        for data in page.records[applied_count:]:
+            self._apply_encoded(data)
+            self.offset += 1
+
     def _apply_encoded(self, data: bytes) -> None:
         try:
             record = decode_record(data)
--- a/tests/site/test_journal_follower.py
+++ b/tests/site/test_journal_follower.py
@@ -10,12 +10,16 @@
 from lagoonbeam.site.job_service import JobService
 from lagoonbeam.site.journal_appender import JournalAppender
 from lagoonbeam.site.journal_follower import JournalFollower
-from lagoonbeam.site.model import JobState
+from lagoonbeam.site.model import JobState, RunEndReason
 from lagoonbeam.site.platform_interface import JournalPage, JournalWriter
 from lagoonbeam.site.records import (
     JobAccepted,
     JobCancelled,
+    Placement,
     Record,
+    RunEnd,
+    RunsEnded,
+    RunsPlaced,
     TermRenewed,
     encode_record,
 )
@@ -31,18 +35,27 @@
 
 
 class CountingStore(FakeJournalStore):
-    """Counts the reads; another instance appends through `store_record`."""
+    """Counts the reads; another instance appends through `store_record`.
+
+    Attributes:
+        read_count: How often the journal was read.
+        hold_pages: Whether pages that were read are not delivered yet.
+    """
 
     def __init__(self) -> None:
         super().__init__()
         self.read_count = 0
+        self.hold_pages = False
 
     def store_record(self, record: Record) -> None:
         self.records.append(encode_record(record))
 
     async def read(self, first_offset: int, *, wait_s: float) -> JournalPage:
         self.read_count += 1
-        return await super().read(first_offset, wait_s=wait_s)
+        page = await super().read(first_offset, wait_s=wait_s)
+        while self.hold_pages:
+            await anyio.sleep(0.01)
+        return page
 
 
 class Replica:
@@ -99,3 +112,54 @@
             )
         tasks.cancel_scope.cancel()
     assert replica.store.read_count >= 20
+
+
+async def test_late_page_does_not_apply_appended_records_again() -> None:
+    """A page is read, and delivered after this instance's next appends.
+
+    Applied again, the placement of the first run would replace that of the
+    second one, and the failure of the first run would count twice.
+    """
+    replica = Replica()
+    task_id = "a.0.0.0"
+    records = [
+        RunsPlaced((Placement(task_id, 1, "w0", 1),)),
+        RunsEnded((RunEnd(task_id, 1, RunEndReason.FAILED),)),
+        RunsPlaced((Placement(task_id, 2, "w1", 1),)),
+    ]
+    replica.store.store_record(JobAccepted(make_job("a")))
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(replica.follower.run)
+        await replica.follower.wait_for_offset(1, 2.0)
+        replica.store.hold_pages = True
+        await replica.follower.refresh(0.2)
+        for offset, record in enumerate(records, start=1):
+            replica.store.store_record(record)
+            replica.follower.apply_appended(offset, [record])
+        await anyio.sleep(0.1)
+        replica.store.hold_pages = False
+        read_count = replica.store.read_count
+        while replica.store.read_count == read_count:
+            await anyio.sleep(0.01)
+        tasks.cancel_scope.cancel()
+    task = replica.follower.state.tasks[task_id]
+    assert replica.follower.offset == 4
+    assert (task.run, task.unit.failures) == (2, 1)
+
+
+async def test_late_page_applies_the_records_that_follow_appended_ones() -> (
+    None
+):
+    replica = Replica()
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(replica.follower.run)
+        await anyio.sleep(0.05)
+        replica.store.hold_pages = True
+        replica.store.store_record(JobAccepted(make_job("a")))
+        replica.store.store_record(JobAccepted(make_job("b")))
+        replica.follower.apply_appended(0, [JobAccepted(make_job("a"))])
+        await anyio.sleep(0.1)
+        replica.store.hold_pages = False
+        assert await replica.follower.wait_for_offset(2, 2.0)
+        tasks.cancel_scope.cancel()
+    assert set(replica.follower.state.jobs) == {"a", "b"}
