Do not call a queue or key unknown by a configuration that may be out of date

Change: the source tells up to when all versions have been read (a page with records: when the read was sent; an empty one: after the wait that it asked for). Beyond the platform's bound (config_apply_ms) an unknown queue or key is refused with 503 and Retry-After instead, in the platform's API and in the product's own. A read waits only until the configuration is 1 s old, so the answer to one change does not leave it 2 s old before the next.

A route or key that the old version has is served on: a zone that is cut off serves what it can.

Tests fail with UnknownQueueError and UnauthorizedError when the check is off.

--- a/lagoonbeam/site/instance.py
+++ b/lagoonbeam/site/instance.py
@@ -5,12 +5,10 @@
 import random
 import secrets
 from dataclasses import dataclass
-from functools import partial
 
 import anyio
 import anyio.abc
 
-from lagoonbeam.core.clock import read_boot_time_s
 from lagoonbeam.errors import LagoonbeamError
 from lagoonbeam.site.decision_log import DecisionLog
 from lagoonbeam.site.dependency import DependencyMonitor
@@ -35,9 +33,11 @@
 that instances do not all claim at once."""
 CLAIM_CHECK_INTERVAL_S = 0.1
 """Interval at which an instance checks whether to claim a term."""
-CONFIGURATION_READ_WAIT_S = 1.0
-"""Time that one read waits for a new configuration, which must take effect
-within 2 s."""
+MAX_CONFIGURATION_WAIT_S = 1.0
+"""Age of the configuration up to which a read waits for a new version, which
+must take effect within 2 s."""
+MAX_CLAIM_STATE_AGE_S = 2.0
+"""Age of the state replica up to which a term may be claimed."""
 RETRY_DELAY_S = 0.2
 """Delay before a failed operation is retried, before jitter."""
 GAUGE_UPDATE_INTERVAL_S = 1.0
@@ -99,7 +99,12 @@
             JournalWriter(self._incarnation),
             self.follower,
         )
-        self.service = JobService(self.follower, self._appender, decisions)
+        self.service = JobService(
+            self.follower,
+            self._appender,
+            decisions,
+            configuration_apply_s=time_limits.configuration_apply_s,
+        )
 
     async def run(self) -> None:
         """Runs the instance until cancelled."""
@@ -164,38 +169,27 @@
                 return
 
     async def _follow_configuration(self) -> None:
-        """Keeps the configuration up to date until cancelled.
-
-        A read after a failed one does not wait for a change, since versions
-        may have been published meanwhile.
-        """
         dependency_monitor = DependencyMonitor("configuration", self._decisions)
-        wait_s = 0.0
         while True:
-            is_read = await dependency_monitor.run(
-                partial(self._read_configuration, wait_s)
-            )
-            wait_s = CONFIGURATION_READ_WAIT_S if is_read else 0.0
-            if not is_read:
+            if not await dependency_monitor.run(self._read_configuration):
                 await anyio.sleep(add_jitter(RETRY_DELAY_S))
 
-    async def _read_configuration(self, wait_s: float) -> None:
+    async def _read_configuration(self) -> None:
+        """Waits for a change, but only until the configuration is too old."""
         version = self.service.configuration.version
         age_s = self.service.configuration_age_s
-        read_started_s = read_boot_time_s()
-        new_configuration = (
-            await self._platform_services.configuration.wait_for_newer(
-                version, wait_s=wait_s
-            )
+        source = self._platform_services.configuration
+        new_configuration = await source.wait_for_newer(
+            version, wait_s=max(0.0, MAX_CONFIGURATION_WAIT_S - age_s)
         )
-        self.service.configuration_read_s = read_started_s
+        self.service.configuration_synced_s = source.synced_s
         if new_configuration is not None:
             self.service.configuration = new_configuration
             self._decisions.emit(
                 Event.CONFIGURATION_IN_FORCE,
                 version=new_configuration.version,
                 before=version,
-                age_s=round(age_s, 3),
+                age_s=round(age_s, 3) if version else None,
                 queues=len(new_configuration.routes),
             )
 
@@ -212,7 +206,7 @@
         if (
             self.service.is_draining
             or not self.service.configuration.version
-            or follower.age_s > 2 * CONFIGURATION_READ_WAIT_S
+            or follower.age_s > MAX_CLAIM_STATE_AGE_S
         ):
             return False
         if follower.state.is_term_vacant:
--- a/lagoonbeam/site/job_api.py
+++ b/lagoonbeam/site/job_api.py
@@ -163,6 +163,7 @@
         submission = decode_submission(request.body)
         queue = self._service.configuration.find_policy(submission.kind)
         if queue is None:
+            self._service.check_configuration_age()
             raise UnknownKindError(
                 f"got kind {submission.kind!r}, expected one of"
                 f" {self._service.configuration.list_queue_names()}"
@@ -241,6 +242,7 @@
 
         Raises:
             UnauthorizedError: If the token is missing or not known.
+            NotReadyError: If it may be known by now.
         """
         header = request.headers.get("authorization", "")
         token = ""
@@ -248,6 +250,8 @@
             token = header[len(_BEARER_PREFIX) :].strip()
         organisation = self._service.configuration.find_organisation(token)
         if organisation is None:
+            if token:
+                self._service.check_configuration_age()
             raise UnauthorizedError(
                 "the bearer token is missing or not known, expected"
                 " 'Authorization: Bearer KEY'"
--- a/lagoonbeam/site/job_service.py
+++ b/lagoonbeam/site/job_service.py
@@ -54,11 +54,13 @@
         follower: Keeps the replica.
         appender: Appends acceptances and cancellations.
         decisions: The decision log.
+        configuration_apply_s: Time after which a published configuration must
+            be in force, in seconds.
 
     Attributes:
         configuration: The current configuration.
-        configuration_read_s: When the last complete read of the configuration
-            began; it contains all versions published before.
+        configuration_synced_s: Time on the boot clock up to which all
+            published versions have been read.
         is_draining: Whether the instance is shutting down.
     """
 
@@ -67,9 +69,12 @@
         follower: JournalFollower,
         appender: JournalAppender,
         decisions: DecisionLog,
+        *,
+        configuration_apply_s: float = float("inf"),
     ):
+        self._configuration_apply_s = configuration_apply_s
         self.configuration = Configuration()
-        self.configuration_read_s = float("-inf")
+        self.configuration_synced_s = float("-inf")
         self.is_draining = False
         self._follower = follower
         self._appender = appender
@@ -77,8 +82,8 @@
 
     @property
     def configuration_age_s(self) -> float:
-        """Seconds since the configuration was known to be the newest."""
-        return read_boot_time_s() - self.configuration_read_s
+        """Seconds since the configuration was last known to be the newest."""
+        return read_boot_time_s() - self.configuration_synced_s
 
     @property
     def is_ready(self) -> bool:
@@ -110,7 +115,8 @@
         The organisation is None for a public route without a known key.
 
         Raises:
-            NotReadyError: If no configuration has been read yet.
+            NotReadyError: If no configuration has been read yet, or the
+                route or key may be in a version that has not been read.
             UnknownQueueError: If no route matches.
             UnauthorizedError: If the API key is not known.
         """
@@ -121,12 +127,31 @@
             )
         route = self.configuration.find_route(host, path)
         if route is None:
+            self.check_configuration_age()
             raise UnknownQueueError(f"no queue is configured for {host}{path}")
         organisation = self.configuration.find_organisation(api_key)
         if organisation is None and not route.is_public:
+            self.check_configuration_age()
             raise UnauthorizedError("the API key is not known")
         return route, organisation
 
+    def check_configuration_age(self) -> None:
+        """Checks that what the configuration lacks does not exist.
+
+        An instance that cannot read the configuration may not know of a queue
+        or key that other instances serve already.
+
+        Raises:
+            NotReadyError: If a version that must be in force by now may not
+                have been read.
+        """
+        age_s = self.configuration_age_s
+        if age_s > self._configuration_apply_s:
+            raise NotReadyError(
+                f"the configuration is {age_s:.1f} s old",
+                retry_after_s=RETRY_AFTER_S,
+            )
+
     async def submit(
         self, job_request: JobRequest, *, timeout_s: float
     ) -> None:
@@ -242,7 +267,9 @@
             reason=error.code,
             cause=str(error),
             version=self.configuration.version,
-            version_age_s=round(self.configuration_age_s, 3),
+            version_age_s=round(self.configuration_age_s, 3)
+            if self.configuration.version
+            else None,
         )
 
     def log_internal_error(self, target: str, error: Exception) -> None:
--- a/lagoonbeam/site/platform_interface.py
+++ b/lagoonbeam/site/platform_interface.py
@@ -121,6 +121,14 @@
 class ConfigurationSource(ABC):
     """Source of the configuration that operators publish."""
 
+    @property
+    @abstractmethod
+    def synced_s(self) -> float:
+        """Time on the boot clock up to which all versions have been read.
+
+        Negative infinity before the first complete read.
+        """
+
     @abstractmethod
     async def wait_for_newer(
         self, version: int, *, wait_s: float
--- a/lagoonbeam/site/time_limits.py
+++ b/lagoonbeam/site/time_limits.py
@@ -12,7 +12,10 @@
     Attributes:
         lease_s: Longest lease that a run may get.
         store_retention_s: Time for which the store keeps records.
+        configuration_apply_s: Time after which a published configuration must
+            be in force.
     """
 
     lease_s: float
     store_retention_s: float
+    configuration_apply_s: float
--- a/tests/adapters/test_operator_channel.py
+++ b/tests/adapters/test_operator_channel.py
@@ -9,6 +9,7 @@
 from lagoonbeam_platform.store import PlatformOperatorChannel
 from lagoonbeam_platform.store_client import KeyedItem, encode_keyed_record
 
+from lagoonbeam.core.clock import read_boot_time_s
 from lagoonbeam.errors import LogTruncatedError
 from lagoonbeam.site.platform_interface import JournalPage
 
@@ -28,6 +29,7 @@
         self.values = {"config": CONFIGURATION}
         self.records: list[bytes] = []
         self.is_truncated = False
+        self.hides_records = False
 
     def put(self, key: str, value: bytes) -> None:
         self.records.append(encode_keyed_record(key, value))
@@ -49,6 +51,8 @@
             self.is_truncated = False
             raise LogTruncatedError("gone", oldest_offset=len(self.records))
         records = tuple(self.records[first_offset:])
+        if self.hides_records:
+            records = ()
         return JournalPage(first_offset, records, len(self.records))
 
 
@@ -91,3 +95,36 @@
     client.is_truncated = True
     await channel.wait_for_newer(0, wait_s=0.0)
     assert channel.list_evacuated_zones() == frozenset()
+
+
+async def test_empty_page_after_a_wait_shows_that_nothing_was_published() -> (
+    None
+):
+    client = FakeStoreClient()
+    channel = make_channel(client)
+    await channel.wait_for_newer(0, wait_s=0.0)
+    started_s = read_boot_time_s()
+    await channel.wait_for_newer(1, wait_s=0.5)
+    assert started_s + 0.5 <= channel.synced_s <= read_boot_time_s() + 0.5
+
+
+async def test_page_with_records_shows_what_was_published_before_the_read() -> (
+    None
+):
+    client = FakeStoreClient()
+    channel = make_channel(client)
+    await channel.wait_for_newer(0, wait_s=0.0)
+    client.put("config", b'{"version": 2}')
+    await channel.wait_for_newer(1, wait_s=0.5)
+    assert channel.synced_s <= read_boot_time_s()
+
+
+async def test_page_that_ends_before_the_topic_shows_nothing_newer() -> None:
+    client = FakeStoreClient()
+    channel = make_channel(client)
+    await channel.wait_for_newer(0, wait_s=0.0)
+    synced_s = channel.synced_s
+    client.put("config", b'{"version": 2}')
+    client.hides_records = True
+    await channel.wait_for_newer(1, wait_s=0.5)
+    assert channel.synced_s == synced_s
--- a/tests/site/test_instance.py
+++ b/tests/site/test_instance.py
@@ -23,7 +23,7 @@
         platform_services=PlatformServices(
             FakeJournalStore(), unused_service, unused_service, unused_service
         ),
-        time_limits=PlatformTimeLimits(10.0, 20.0),
+        time_limits=PlatformTimeLimits(10.0, 20.0, 2.0),
         decisions=DecisionLog("n0", "z1", descriptor=2),
     )
     scheduler_instance.service.configuration = Configuration(version=1)
--- /dev/null
+++ b/tests/site/test_job_service.py
@@ -0,0 +1,70 @@
+"""What an instance answers while it cannot read the configuration."""
+
+from __future__ import annotations
+
+import pytest
+
+from lagoonbeam.core.clock import read_boot_time_s
+from lagoonbeam.errors import (
+    NotReadyError,
+    UnauthorizedError,
+    UnknownQueueError,
+)
+from lagoonbeam.site.decision_log import DecisionLog
+from lagoonbeam.site.job_service import JobService
+from lagoonbeam.site.journal_appender import JournalAppender
+from lagoonbeam.site.journal_follower import JournalFollower
+from lagoonbeam.site.platform_interface import JournalWriter
+from tests.site.builders import make_configuration
+from tests.site.test_journal_appender import FakeJournalStore
+
+APPLY_S = 2.0
+HOST = "jobs.example"
+
+
+@pytest.fixture
+def service() -> JobService:
+    store = FakeJournalStore()
+    decisions = DecisionLog("n0", "z1", descriptor=2)
+    follower = JournalFollower(store, decisions)
+    appender = JournalAppender(store, JournalWriter("n0"), follower)
+    job_service = JobService(
+        follower, appender, decisions, configuration_apply_s=APPLY_S
+    )
+    job_service.configuration = make_configuration()
+    job_service.configuration_synced_s = read_boot_time_s()
+    return job_service
+
+
+def age_configuration(service: JobService) -> None:
+    service.configuration_synced_s = read_boot_time_s() - APPLY_S - 0.1
+
+
+def test_queue_that_may_have_been_added_is_not_reported_as_unknown(
+    service: JobService,
+) -> None:
+    with pytest.raises(UnknownQueueError):
+        service.find_route(HOST, "/new/", "key")
+    age_configuration(service)
+    with pytest.raises(NotReadyError) as refusal:
+        service.find_route(HOST, "/new/", "key")
+    assert refusal.value.retry_after_s > 0
+
+
+def test_key_that_may_have_been_added_is_not_reported_as_unknown(
+    service: JobService,
+) -> None:
+    with pytest.raises(UnauthorizedError):
+        service.find_route(HOST, "/q1/", "new key")
+    age_configuration(service)
+    with pytest.raises(NotReadyError):
+        service.find_route(HOST, "/q1/", "new key")
+
+
+def test_known_queue_and_key_are_served_by_an_old_configuration(
+    service: JobService,
+) -> None:
+    age_configuration(service)
+    route, organisation = service.find_route(HOST, "/q1/", "key")
+    assert route.path_prefix == "/q1/"
+    assert organisation is not None
