--- a/harness/mutations.py
+++ b/harness/mutations.py
@@ -269,6 +269,30 @@
         "tests/site/test_fleet.py"
         "::test_workers_of_an_evacuated_zone_get_no_runs",
     ),
+    Mutation(
+        "site: a late read is repeated on the next route",
+        "lagoonbeam/site/staggered_attempts.py",
+        "            wait_s = deadline_s - anyio.current_time()",
+        '            wait_s = float("inf")',
+        "tests/adapters/test_store_reads.py"
+        "::test_open_connections_that_went_silent_do_not_delay_a_record",
+    ),
+    Mutation(
+        "site: an old configuration denies no queue",
+        "lagoonbeam/site/job_service.py",
+        "        if age_s > self._configuration_apply_s:",
+        "        if False:",
+        "tests/site/test_job_service.py"
+        "::test_queue_that_may_have_been_added_is_not_reported_as_unknown",
+    ),
+    Mutation(
+        "site: appended records are applied once",
+        "lagoonbeam/site/journal_follower.py",
+        "        applied_count = self.offset - page.first_offset",
+        "        applied_count = 0",
+        "tests/site/test_journal_follower.py"
+        "::test_late_page_does_not_apply_appended_records_again",
+    ),
     Mutation(
         "site: no start on a worker that was closed while journaling",
         "lagoonbeam/site/run_launcher.py",
