Have the late page read before the appends that it overlaps, in every run

Cause: the test of late pages depended on when the follower paused; the page was often read after the appends, and nothing overlapped.

Change: the test waits until the page with all records has been read, then applies the appends, then has the page delivered.

--- a/tests/site/test_journal_follower.py
+++ b/tests/site/test_journal_follower.py
@@ -40,12 +40,14 @@
     Attributes:
         read_count: How often the journal was read.
         hold_pages: Whether pages that were read are not delivered yet.
+        held_page: The last page that was read.
     """
 
     def __init__(self) -> None:
         super().__init__()
         self.read_count = 0
         self.hold_pages = False
+        self.held_page: JournalPage | None = None
 
     def store_record(self, record: Record) -> None:
         self.records.append(encode_record(record))
@@ -53,10 +55,21 @@
     async def read(self, first_offset: int, *, wait_s: float) -> JournalPage:
         self.read_count += 1
         page = await super().read(first_offset, wait_s=wait_s)
+        self.held_page = page
         while self.hold_pages:
             await anyio.sleep(0.01)
         return page
 
+    async def wait_until_read(self, record_count: int) -> None:
+        """Waits until the last page that was read ends after some records."""
+        with anyio.fail_after(2.0):
+            while (
+                self.held_page is None
+                or self.held_page.first_offset + len(self.held_page.records)
+                < record_count
+            ):
+                await anyio.sleep(0.01)
+
 
 class Replica:
     """A passive follower of a journal, and the service that asks it."""
@@ -127,16 +140,18 @@
         RunsEnded((RunEnd(task_id, 1, RunEndReason.FAILED),)),
         RunsPlaced((Placement(task_id, 2, "w1", 1),)),
     ]
+    replica.follower.is_active_scheduler = True
     replica.store.store_record(JobAccepted(make_job("a")))
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(replica.follower.run)
         await replica.follower.wait_for_offset(1, 2.0)
+        for record in records:
+            replica.store.store_record(record)
         replica.store.hold_pages = True
-        await replica.follower.refresh(0.2)
+        await replica.store.wait_until_read(4)
+        assert replica.follower.offset == 1
         for offset, record in enumerate(records, start=1):
-            replica.store.store_record(record)
             replica.follower.apply_appended(offset, [record])
-        await anyio.sleep(0.1)
         replica.store.hold_pages = False
         read_count = replica.store.read_count
         while replica.store.read_count == read_count:
@@ -151,14 +166,13 @@
     None
 ):
     replica = Replica()
+    replica.store.store_record(JobAccepted(make_job("a")))
+    replica.store.store_record(JobAccepted(make_job("b")))
+    replica.store.hold_pages = True
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(replica.follower.run)
-        await anyio.sleep(0.05)
-        replica.store.hold_pages = True
-        replica.store.store_record(JobAccepted(make_job("a")))
-        replica.store.store_record(JobAccepted(make_job("b")))
+        await replica.store.wait_until_read(2)
         replica.follower.apply_appended(0, [JobAccepted(make_job("a"))])
-        await anyio.sleep(0.1)
         replica.store.hold_pages = False
         assert await replica.follower.wait_for_offset(2, 2.0)
         tasks.cancel_scope.cancel()
