Skip single unreadable records of a keyed topic, with a log line

Cause: the reader stored the offset of the newest records before it decoded them. One value that could not be decoded made the read fail once; the next read went on behind the offset, and the configuration among the skipped values was not known until the next version. A record that could not be decoded was skipped without a log line.

test_unreadable_value_of_a_key_does_not_hide_the_configuration failed before with MalformedDataError, test_unreadable_record_is_logged_and_the_next_one_applied with no event.

--- a/lagoonbeam/site/events.py
+++ b/lagoonbeam/site/events.py
@@ -84,6 +84,8 @@
     complete read before."""
     CONFIGURATION_MALFORMED = "configuration.malformed"
     """A version of the configuration could not be decoded."""
+    RECORD_MALFORMED = "record.malformed"
+    """A record of a keyed topic could not be decoded; topic, cause."""
     JOURNAL_REFUSED = "journal.refused"
     """Records were not stored in the journal."""
     JOURNAL_TRUNCATED = "journal.truncated"
--- a/tests/adapters/test_operator_channel.py
+++ b/tests/adapters/test_operator_channel.py
@@ -30,6 +30,7 @@
         self.records: list[bytes] = []
         self.is_truncated = False
         self.hides_records = False
+        self.malformed_items: list[KeyedItem] = []
         self.page_as_of_s = float("-inf")
 
     def put(self, key: str, value: bytes) -> None:
@@ -43,7 +44,7 @@
             KeyedItem(key, base64.b64encode(value).decode())
             for key, value in self.values.items()
         ]
-        return items, len(self.records)
+        return [*items, *self.malformed_items], len(self.records)
 
     async def read(
         self, topic: str, first_offset: int, wait_s: float
@@ -123,3 +124,31 @@
     client.hides_records = True
     await channel.wait_for_newer(1, wait_s=0.5)
     assert channel.synced_s == synced_s
+
+
+async def test_unreadable_value_of_a_key_does_not_hide_the_configuration() -> (
+    None
+):
+    client = FakeStoreClient()
+    client.malformed_items = [KeyedItem("wave/1", "a")]
+    events: list[str] = []
+    store_client: Any = client
+    channel = PlatformOperatorChannel(
+        store_client, lambda event, **_: events.append(event)
+    )
+    assert await channel.wait_for_newer(0, wait_s=0.0) is not None
+    assert events == ["record.malformed"]
+
+
+async def test_unreadable_record_is_logged_and_the_next_one_applied() -> None:
+    client = FakeStoreClient()
+    events: list[str] = []
+    store_client: Any = client
+    channel = PlatformOperatorChannel(
+        store_client, lambda event, **_: events.append(event)
+    )
+    await channel.wait_for_newer(0, wait_s=0.0)
+    client.records.append(b"")
+    client.put("config", b'{"version": 2}')
+    assert await channel.wait_for_newer(1, wait_s=0.0) is not None
+    assert events == ["record.malformed"]
