Have peers say at once that they have no route to the store

What callers saw: an instance that the store turns away serves and refuses by an older configuration.

Cause: a peer that the store turns away as well took a relayed read, tried the store itself for 1.2 s and only then said so. A read asked six peers, one every 0.5 s; with nine tenths of the fleet turned away silently none of the six had a route (probability 0.53), and the next read began anew with two waits on the direct route.

Change: an instance without a direct route refuses to relay at once; the caller asks the next peer without waiting, up to 24 of them, those that failed longest ago first. A read finds out that there is no direct route when a call over a new connection fails. An attempt that fails beside a late one is followed at once.

--- a/lagoonbeam/errors.py
+++ b/lagoonbeam/errors.py
@@ -341,6 +341,12 @@
     code = "server_unreachable"
 
 
+class PeerWithoutRouteError(ServerUnreachableError):
+    """A peer did not make a store call, since it has no route to the store."""
+
+    code = "peer_without_route"
+
+
 class ResponseLostError(UnavailableError):
     """No response to a sent request; it may have been executed."""
 
--- a/lagoonbeam/site/relay.py
+++ b/lagoonbeam/site/relay.py
@@ -13,13 +13,18 @@
 from lagoonbeam.core.http_server import Request
 from lagoonbeam.errors import (
     LagoonbeamError,
+    PeerWithoutRouteError,
     ResponseLostError,
     ServerUnreachableError,
 )
 
 RELAY_TARGET = "/relay"
 MAX_PEERS_PER_CALL = 3
-"""Maximum number of peers tried for one call."""
+"""Maximum number of peers tried for one call, without those that have no route
+to the store."""
+MAX_PEERS_ASKED = 24
+"""Maximum number of peers asked for one call. Of a fleet of which a tenth can
+reach the store, one of them is among these with a probability of 0.92."""
 REFUSAL_STATUSES = frozenset({429, 503})
 """HTTP statuses with which the store rejects a call without effect."""
 FAILED_PEER_PAUSE_S = 2.0
@@ -82,12 +87,12 @@
             lambda host, taken_s, cause: None
         )
 
-    def take_hosts(self, max_hosts: int = MAX_PEERS_PER_CALL) -> Iterator[str]:
-        """Yields up to `max_hosts` peers to try for one call.
+    def take_hosts(self) -> Iterator[str]:
+        """Yields up to `MAX_PEERS_ASKED` peers to try for one call.
 
         A peer is not used again for a while once the next one is taken.
         """
-        for host in self._list_candidate_hosts()[:max_hosts]:
+        for host in self._list_candidate_hosts()[:MAX_PEERS_ASKED]:
             yield host
             self._pause(host)
 
@@ -112,6 +117,7 @@
             The store's response, which may be a refusal.
 
         Raises:
+            PeerWithoutRouteError: If the peer has no route to the store.
             ServerUnreachableError: If the call was not made.
             ResponseLostError: If the call may have been executed.
         """
@@ -121,6 +127,8 @@
         started_s = time.monotonic()
         try:
             response = await self._request_relay(client, call, response_started)
+        except PeerWithoutRouteError:
+            raise
         except LagoonbeamError as error:
             self.on_failure(host, time.monotonic() - started_s, str(error))
             raise
@@ -143,17 +151,23 @@
         """
         lost_answer: ResponseLostError | None = None
         refusal: Response | None = None
+        tried_count = 0
         for host in self.take_hosts():
+            if tried_count == MAX_PEERS_PER_CALL:
+                break
             try:
                 response = await self.call_peer(host, call)
+            except PeerWithoutRouteError:
+                continue
             except ResponseLostError as error:
                 lost_answer = error
             except ServerUnreachableError:
-                continue
+                pass
             else:
                 if response.status not in REFUSAL_STATUSES:
                     return response
                 refusal = response
+            tried_count += 1
         if lost_answer is not None:
             raise lost_answer
         if refusal is not None:
@@ -161,7 +175,11 @@
         raise ServerUnreachableError("no peer could relay the call")
 
     def _list_candidate_hosts(self) -> list[str]:
-        """Returns the peers to try, starting with the last successful one."""
+        """Returns the peers to try, in the order in which to try them.
+
+        The last successful one comes first, then those that have not failed,
+        then those that have, with the latest failure last.
+        """
         now_s = time.monotonic()
         hosts = {*self.seed_hosts, *self.peers()} - {self._own_host}
         available = [
@@ -169,7 +187,11 @@
         ]
         random.shuffle(available)
         return sorted(
-            available, key=lambda host: host != self._last_successful_host
+            available,
+            key=lambda host: (
+                host != self._last_successful_host,
+                self._paused_until_s.get(host, 0.0),
+            ),
         )
 
     def _pause(self, host: str) -> None:
@@ -195,6 +217,10 @@
             raise ResponseLostError(
                 f"peer {client.host} got no answer from the store"
             )
+        if response.status == 503:
+            raise PeerWithoutRouteError(
+                f"peer {client.host} has no route to the store"
+            )
         if response.status != 200:
             raise ServerUnreachableError(
                 f"peer {client.host} answered {response.status}"
--- a/lagoonbeam/site/staggered_attempts.py
+++ b/lagoonbeam/site/staggered_attempts.py
@@ -61,31 +61,35 @@
         changed, self._changed = self._changed, anyio.Event()
         changed.set()
 
-    async def wait(self, patience_s: float = float("inf")) -> None:
-        """Waits for a result while one may still come in time.
+    async def wait_until_late(self, attempt: Attempt[T]) -> None:
+        """Waits for a result, or until an attempt has failed or is late.
 
-        Returns:
-            When there is a result, no attempt is left, or the time has passed
-            and no response has begun to arrive.
+        Waits on while a response to any attempt is arriving.
         """
-        deadline_s = anyio.current_time() + patience_s
-        while self._running and not self.results:
+        deadline_s = anyio.current_time() + attempt.patience_s
+        while not self.results:
             is_answering = any(
-                attempt.response_started.is_set() for attempt in self._running
+                running.response_started.is_set() for running in self._running
             )
-            wait_s = deadline_s - anyio.current_time()
+            has_failed = attempt.error is not None
+            wait_s = 0.0 if has_failed else deadline_s - anyio.current_time()
             if wait_s <= 0 and not is_answering:
                 return
             with anyio.move_on_after(None if wait_s <= 0 else wait_s):
                 await self._changed.wait()
 
+    async def wait_for_all(self) -> None:
+        """Waits for a result, or until all attempts have failed."""
+        while self._running and not self.results:
+            await self._changed.wait()
+
 
 async def run_staggered(attempts: Iterable[Attempt[T]]) -> T:
     """Makes attempts one after the other until one of them has a result.
 
-    The next attempt is made when all earlier ones have failed, or when the
-    last one has no response for longer than its patience. Attempts still under
-    way are cancelled once there is a result.
+    The next attempt is made when the last one has failed, or has no response
+    for longer than its patience. Attempts still under way are cancelled once
+    there is a result.
 
     Args:
         attempts: At least one attempt; each is taken only when it is made.
@@ -99,10 +103,10 @@
         for attempt in attempts:
             race.enter(attempt)
             tasks.start_soon(race.run, attempt)
-            await race.wait(attempt.patience_s)
+            await race.wait_until_late(attempt)
             if race.results:
                 break
-        await race.wait()
+        await race.wait_for_all()
         tasks.cancel_scope.cancel()
     if not race.results:
         raise race.errors[0]
--- a/lagoonbeam/site/store_transport.py
+++ b/lagoonbeam/site/store_transport.py
@@ -5,6 +5,7 @@
 import time
 from collections.abc import Awaitable, Iterator
 from dataclasses import dataclass
+from itertools import takewhile
 
 import anyio
 
@@ -30,8 +31,8 @@
 DIRECT_READ_LEAD_S = 0.1
 """Seconds by which a late read is repeated directly, over a new connection,
 before it is made through a peer."""
-MAX_PEERS_PER_READ = 6
-"""Maximum number of peers tried for one read."""
+MAX_LATE_S = 3.0
+"""Seconds for which a late read is made on further routes; then it fails."""
 PROBE_INTERVAL_S = 0.5
 """Seconds between probes of the direct route while calls go through peers."""
 PROBE_TIMEOUT_S = 0.6
@@ -99,8 +100,18 @@
         self._decisions = decisions
         self._is_direct = True
 
-    async def call_direct(self, call: RelayedCall) -> Response:
-        """Calls the store directly."""
+    async def call_for_peer(self, call: RelayedCall) -> Response:
+        """Calls the store directly on behalf of a peer.
+
+        The peer is told at once if this instance needs relays itself, so that
+        it can try the next one.
+
+        Raises:
+            ServerUnreachableError: If there is no direct route to the store.
+            ResponseLostError: If the call may have been executed.
+        """
+        if not self._is_direct:
+            raise ServerUnreachableError("no direct route to the store")
         return await self._request_store(call, None)
 
     async def call(
@@ -172,7 +183,7 @@
             "GET", read.immediate_target, b"", CALL_TIMEOUT_S
         )
         patience_s = read.wait_s + LATE_READ_S
-        hosts = self._relays.take_hosts(MAX_PEERS_PER_READ)
+        hosts = self._relays.take_hosts()
         direct = self._make_direct_attempt(
             waiting_call, patience_s, wait_s=read.wait_s
         )
@@ -186,10 +197,15 @@
             yield self._make_direct_attempt(
                 late_call, DIRECT_READ_LEAD_S, uses_new_connection=True
             )
-        for host in hosts:
-            yield self._make_peer_attempt(
+        late_since_s = time.monotonic()
+        yield from (
+            self._make_peer_attempt(
                 host, late_call, LATE_READ_S, uses_new_connection=True
             )
+            for host in takewhile(
+                lambda _: time.monotonic() - late_since_s < MAX_LATE_S, hosts
+            )
+        )
 
     def _make_direct_attempt(
         self,
@@ -203,10 +219,16 @@
             if uses_new_connection:
                 await self._client.close()
             sent_s = read_boot_time_s()
-            response = self._raise_if_refused(
-                await self._call_direct_counted(call, response_started),
-                call.target,
-            )
+            try:
+                response = self._raise_if_refused(
+                    await self._call_direct_counted(call, response_started),
+                    call.target,
+                )
+            except LagoonbeamError as error:
+                # An open connection may have ended; a new one tells more.
+                if uses_new_connection or isinstance(error, StoreBusyError):
+                    self._set_direct(False, str(error))
+                raise
             self._set_direct(True, "")
             return StoreReadResult(response, sent_s, wait_s)
 
--- a/tests/site/test_relay.py
+++ b/tests/site/test_relay.py
@@ -66,6 +66,21 @@
     run_with_peers([*refused_peers, working_peer], scenario)
 
 
+def test_peers_without_a_route_do_not_keep_a_call_from_the_one_with_one(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr("lagoonbeam.site.relay.random.shuffle", list.sort)
+    no_route = ServerUnreachableError("no direct route to the store")
+    peers = [FakePeer(f"127.0.5.{n}", no_route) for n in range(11, 21)]
+    working_peer = FakePeer("127.0.5.21", 200)
+
+    async def scenario(relays: PeerRelays) -> None:
+        assert (await relays.call(CALL)).status == 200
+        assert working_peer.call_count == 1
+
+    run_with_peers([*peers, working_peer], scenario)
+
+
 def test_refusal_is_returned_when_all_peers_are_refused() -> None:
     async def scenario(relays: PeerRelays) -> None:
         assert (await relays.call(CALL)).status == 503
--- a/tests/site/test_staggered_attempts.py
+++ b/tests/site/test_staggered_attempts.py
@@ -83,6 +83,14 @@
     assert await run_over(late, refused, refused) == "late"
 
 
+async def test_refused_attempt_beside_a_late_one_is_followed_at_once() -> None:
+    refused = Attempt(Route(StoreBusyError("refused")).run, 60.0)
+    late = Attempt(Route("late", delay_s=60).run, PATIENCE_S)
+    prompt = Attempt(Route("prompt").run, PATIENCE_S)
+    with anyio.fail_after(1):
+        assert await run_staggered([late, refused, prompt]) == "prompt"
+
+
 async def test_first_error_is_raised_when_all_attempts_fail() -> None:
     with pytest.raises(ResponseLostError):
         await run_over(
