Stay on the direct route when a peer's read ends after the return to it

Cause: took each answer of a peer as a sign that the direct route is late. A read that had gone to a peer first, and had waited there while a probe found the store again, turned the route back; so did each next one.

Change: a peer's answer turns the route away from the store only in a read that had become late, in which the store was tried over a new connection as well.

test_read_through_a_peer_does_not_undo_the_return_to_the_store failed before.

--- a/lagoonbeam/site/store_transport.py
+++ b/lagoonbeam/site/store_transport.py
@@ -195,13 +195,11 @@
             )
         if not isinstance(direct.error, StoreBusyError):
             yield self._make_direct_attempt(
-                late_call, DIRECT_READ_LEAD_S, uses_new_connection=True
+                late_call, DIRECT_READ_LEAD_S, is_late=True
             )
         late_since_s = time.monotonic()
         yield from (
-            self._make_peer_attempt(
-                host, late_call, LATE_READ_S, uses_new_connection=True
-            )
+            self._make_peer_attempt(host, late_call, LATE_READ_S, is_late=True)
             for host in takewhile(
                 lambda _: time.monotonic() - late_since_s < MAX_LATE_S, hosts
             )
@@ -213,10 +211,10 @@
         patience_s: float,
         *,
         wait_s: float = 0.0,
-        uses_new_connection: bool = False,
+        is_late: bool = False,
     ) -> Attempt[StoreReadResult]:
         async def run(response_started: anyio.Event) -> StoreReadResult:
-            if uses_new_connection:
+            if is_late:
                 await self._client.close()
             sent_s = read_boot_time_s()
             try:
@@ -226,7 +224,7 @@
                 )
             except LagoonbeamError as error:
                 # An open connection may have ended; a new one tells more.
-                if uses_new_connection or isinstance(error, StoreBusyError):
+                if is_late or isinstance(error, StoreBusyError):
                     self._set_direct(False, str(error))
                 raise
             self._set_direct(True, "")
@@ -241,7 +239,7 @@
         patience_s: float,
         *,
         wait_s: float = 0.0,
-        uses_new_connection: bool = False,
+        is_late: bool = False,
     ) -> Attempt[StoreReadResult]:
         async def run(response_started: anyio.Event) -> StoreReadResult:
             sent_s = read_boot_time_s()
@@ -249,12 +247,13 @@
                 host,
                 call,
                 response_started=response_started,
-                uses_new_connection=uses_new_connection,
+                uses_new_connection=is_late,
             )
             response = self._raise_if_refused(
                 await self._count_result("peer", relayed_response), call.target
             )
-            self._set_direct(False, "a peer answered a read first")
+            if is_late:
+                self._set_direct(False, "a peer answered a read first")
             return StoreReadResult(response, sent_s, wait_s)
 
         return Attempt(run, patience_s)
--- a/tests/adapters/test_store_reads.py
+++ b/tests/adapters/test_store_reads.py
@@ -215,6 +215,22 @@
         assert channel.synced_s <= read_boot_time_s()
 
 
+async def test_read_through_a_peer_does_not_undo_the_return_to_the_store() -> (
+    None
+):
+    """The store serves the instance again while a peer's read still waits."""
+    async with run_site(peer_count=1) as site:
+        site.refused = {OWN_HOST}
+        await site.read()
+        site.refused = set()
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(site.transport.probe_direct_route)
+            await site.read()
+            tasks.cancel_scope.cancel()
+        probe = RelayedCall("GET", PROBE_TARGET, b"", READ_WAIT_S)
+        assert (await site.transport.call_for_peer(probe)).status == 200
+
+
 async def test_page_without_records_covers_the_time_that_the_store_waited() -> (
     None
 ):
