Accept no work by a configuration that may be out of date

Cause, the second half of the same fault: what an instance does by its configuration did not depend on how old that is.

Change: submissions, cancellations and counts are refused with 503 and Retry-After once the configuration is older than the platform's bound (config_apply_ms). All three need the store in any case, so a zone that is cut off loses nothing; states of jobs are told as before. A job that was accepted already is confirmed again.

Ruled out: doing the same for questions about jobs; a cut-off zone could not serve them, and they change nothing.

--- a/lagoonbeam/site/job_service.py
+++ b/lagoonbeam/site/job_service.py
@@ -136,10 +136,10 @@
         return route, organisation
 
     def check_configuration_age(self) -> None:
-        """Checks that what the configuration lacks does not exist.
+        """Checks that all versions that must be in force by now are known.
 
-        An instance that cannot read the configuration may not know of a queue
-        or key that other instances serve already.
+        An instance that cannot read the configuration may lack a queue or key
+        that other instances serve already, or have one that was removed.
 
         Raises:
             NotReadyError: If a version that must be in force by now may not
@@ -158,12 +158,14 @@
         """Accepts a job, unless it has been accepted before.
 
         Raises:
+            NotReadyError: If the queue or key may have been removed by now.
             LogUnavailableError: If the job was not stored and will not be.
             LogAppendUnconfirmedError: If the job may have been stored.
         """
         if job_request.job_id in self._follower.state.jobs:
             self._decisions.emit(Event.JOB_REPEATED, job=job_request.job_id)
             return
+        self.check_configuration_age()
         self._check_store_responsive()
         started_s = time.monotonic()
         await self._appender.append(
@@ -191,10 +193,12 @@
 
         Raises:
             UnknownJobError: If there is no such job.
+            NotReadyError: If the queue or key may have been removed by now.
             LogUnavailableError: If the job was not cancelled.
             LogAppendUnconfirmedError: If the job may have been cancelled.
         """
         await self.get_job(job_id)
+        self.check_configuration_age()
         self._check_store_responsive()
         await self._appender.append([JobCancelled(job_id)], timeout_s=timeout_s)
         self._decisions.emit(Event.JOB_CANCELLED, job=job_id)
@@ -293,9 +297,11 @@
         """Returns how many accepted jobs of a queue have not started.
 
         Raises:
-            NotReadyError: If the state replica is too old.
+            NotReadyError: If the state replica is too old, or the queue may
+                have been removed by now.
         """
         self._check_state_age()
+        self.check_configuration_age()
         return self._follower.state.count_pending(queue)
 
     def _check_state_age(self) -> None:
--- a/tests/site/test_job_service.py
+++ b/tests/site/test_job_service.py
@@ -15,18 +15,35 @@
 from lagoonbeam.site.journal_appender import JournalAppender
 from lagoonbeam.site.journal_follower import JournalFollower
 from lagoonbeam.site.platform_interface import JournalWriter
-from tests.site.builders import make_configuration
+from lagoonbeam.site.records import JobAccepted
+from tests.site.builders import make_configuration, make_job
 from tests.site.test_journal_appender import FakeJournalStore
 
 APPLY_S = 2.0
 HOST = "jobs.example"
 
 
+pytestmark = pytest.mark.anyio
+
+
 @pytest.fixture
-def service() -> JobService:
-    store = FakeJournalStore()
+def anyio_backend() -> str:
+    return "asyncio"
+
+
+@pytest.fixture
+def store() -> FakeJournalStore:
+    return FakeJournalStore()
+
+
+@pytest.fixture
+def follower(store: FakeJournalStore) -> JournalFollower:
+    return JournalFollower(store, DecisionLog("n0", "z1", descriptor=2))
+
+
+@pytest.fixture
+def service(store: FakeJournalStore, follower: JournalFollower) -> JobService:
     decisions = DecisionLog("n0", "z1", descriptor=2)
-    follower = JournalFollower(store, decisions)
     appender = JournalAppender(store, JournalWriter("n0"), follower)
     job_service = JobService(
         follower, appender, decisions, configuration_apply_s=APPLY_S
@@ -68,3 +85,33 @@
     route, organisation = service.find_route(HOST, "/q1/", "key")
     assert route.path_prefix == "/q1/"
     assert organisation is not None
+
+
+async def test_no_job_is_accepted_for_a_queue_that_may_have_been_removed(
+    service: JobService, store: FakeJournalStore
+) -> None:
+    age_configuration(service)
+    with pytest.raises(NotReadyError):
+        await service.submit(make_job("j1"), timeout_s=1.0)
+    assert not store.records
+
+
+async def test_no_job_is_cancelled_for_a_key_that_may_have_been_revoked(
+    service: JobService, follower: JournalFollower, store: FakeJournalStore
+) -> None:
+    follower.apply_appended(0, [JobAccepted(make_job("j1"))])
+    follower.last_synced_s = read_boot_time_s()
+    age_configuration(service)
+    with pytest.raises(NotReadyError):
+        await service.cancel("j1", timeout_s=1.0)
+    assert not store.records
+
+
+def test_jobs_of_a_queue_that_may_have_been_removed_are_not_counted(
+    service: JobService, follower: JournalFollower
+) -> None:
+    follower.last_synced_s = read_boot_time_s()
+    assert service.count_pending("q1") == 0
+    age_configuration(service)
+    with pytest.raises(NotReadyError):
+        service.count_pending("q1")
