--- a/lagoonbeam/site/journal_follower.py
+++ b/lagoonbeam/site/journal_follower.py
@@ -60,7 +60,8 @@
     Attributes:
         state: The replica.
         offset: Offset of the next record to apply.
-        last_synced_s: When the replica last included the entire journal.
+        last_synced_s: Time up to which the replica includes the entire
+            journal.
         first_synced_s: When it first did.
         last_failure_s: When the store last failed a request.
         last_term_record_s: When a claim or renewal of a term was last applied.
@@ -113,7 +114,7 @@
             self._apply_page(page)
             self._store_monitor.report_success()
             if self.offset >= page.end_offset:
-                self.last_synced_s = read_boot_time_s()
+                self.last_synced_s = max(self.last_synced_s, page.as_of_s)
                 self.first_synced_s = min(
                     self.first_synced_s, self.last_synced_s
                 )
--- a/tests/site/test_journal_appender.py
+++ b/tests/site/test_journal_appender.py
@@ -5,6 +5,7 @@
 import anyio
 import pytest
 
+from lagoonbeam.core.clock import read_boot_time_s
 from lagoonbeam.errors import (
     FencedError,
     LagoonbeamError,
@@ -91,10 +92,14 @@
         return first_offset
 
     async def read(self, first_offset: int, *, wait_s: float) -> JournalPage:
+        sent_s = read_boot_time_s()
         if first_offset >= len(self.records):
             await anyio.sleep(min(wait_s, 0.02))
         return JournalPage(
-            first_offset, tuple(self.records[first_offset:]), len(self.records)
+            first_offset,
+            tuple(self.records[first_offset:]),
+            len(self.records),
+            sent_s,
         )
 
     async def load_snapshot(self) -> Snapshot | None:
--- a/tests/site/test_journal_follower.py
+++ b/tests/site/test_journal_follower.py
@@ -177,3 +177,18 @@
         assert await replica.follower.wait_for_offset(2, 2.0)
         tasks.cancel_scope.cancel()
     assert set(replica.follower.state.jobs) == {"a", "b"}
+
+
+async def test_late_page_does_not_make_the_replica_seem_up_to_date() -> None:
+    replica = Replica()
+    replica.store.store_record(JobAccepted(make_job("a")))
+    replica.store.hold_pages = True
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(replica.follower.run)
+        await replica.store.wait_until_read(1)
+        replica.store.store_record(JobCancelled("a"))
+        await anyio.sleep(0.3)
+        replica.store.hold_pages = False
+        assert await replica.follower.wait_for_offset(1, 2.0)
+        assert replica.follower.age_s >= 0.3
+        tasks.cancel_scope.cancel()
