--- /dev/null
+++ b/tests/test_site_configuration.py
@@ -0,0 +1,59 @@
+"""How soon a configuration is in force on a site of real processes."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Iterator
+from pathlib import Path
+
+import pytest
+
+from harness.site import Site, SiteConfig, make_configuration
+
+CONFIGURATION_APPLY_S = 2.0
+"""Time within which a configuration must be in force on all instances."""
+
+
+@pytest.fixture
+def site(tmp_path: Path) -> Iterator[Site]:
+    with Site(SiteConfig(uses_relays=True), tmp_path) as started_site:
+        yield started_site
+
+
+def publish_added_queue(site: Site, version: int, path_prefix: str) -> None:
+    routes = make_configuration(version)["routes"]
+    added_route = {**routes[0], "name": "new", "path_prefix": path_prefix}
+    site.publish_configuration(
+        make_configuration(version, routes=[*routes, added_route])
+    )
+
+
+def wait_until_served_by_all(site: Site, path: str) -> None:
+    deadline_s = time.monotonic() + CONFIGURATION_APPLY_S
+    while not is_served_by_all(site, path):
+        assert time.monotonic() < deadline_s, f"{path} is not served in time"
+        time.sleep(0.05)
+
+
+def is_served_by_all(site: Site, path: str) -> bool:
+    return all(
+        site.call_front("GET", path, instance=name).status_code == 200
+        for name in site.instance_names
+    )
+
+
+def test_configuration_takes_effect_on_all_instances(site: Site) -> None:
+    publish_added_queue(site, 2, "/added/")
+    wait_until_served_by_all(site, "/added/")
+    assert site.call_front("GET", "/added/").json() == {"pending": 0}
+
+
+def test_configuration_takes_effect_though_open_connections_are_silent(
+    site: Site,
+) -> None:
+    """All instances have just begun to wait for the next configuration."""
+    publish_added_queue(site, 3, "/third/")
+    wait_until_served_by_all(site, "/third/")
+    site.cut_off_from_store(site.instance_names, freeze=True)
+    publish_added_queue(site, 4, "/later/")
+    wait_until_served_by_all(site, "/later/")
--- a/tests/test_site_end_to_end.py
+++ b/tests/test_site_end_to_end.py
@@ -15,13 +15,9 @@
     PATH_PREFIXES,
     Site,
     SiteConfig,
-    make_configuration,
     make_step,
 )
 
-CONFIGURATION_APPLY_S = 2.0
-"""Time within which a configuration must be in force on all instances."""
-
 
 @pytest.fixture(scope="module")
 def site(tmp_path_factory: pytest.TempPathFactory) -> Iterator[Site]:
@@ -55,21 +51,6 @@
     return count_events(site.read_worker_history(), path)["started"]
 
 
-def publish_added_queue(site: Site, version: int, path_prefix: str) -> None:
-    routes = make_configuration(version)["routes"]
-    added_route = {**routes[0], "name": "new", "path_prefix": path_prefix}
-    site.publish_configuration(
-        make_configuration(version, routes=[*routes, added_route])
-    )
-
-
-def is_served_by_all(site: Site, path: str) -> bool:
-    return all(
-        site.call_front("GET", path, instance=name).status_code == 200
-        for name in site.instance_names
-    )
-
-
 def test_step_starts_after_its_predecessor_ends(site: Site) -> None:
     path = site.submit_job([make_step(3), make_step(2, after=[0])])
     assert site.wait_for_state(path, instance="n1") == "completed"
@@ -187,12 +168,6 @@
     )
 
 
-def test_configuration_takes_effect_on_all_instances(site: Site) -> None:
-    publish_added_queue(site, 2, "/added/")
-    wait_until(lambda: is_served_by_all(site, "/added/"), CONFIGURATION_APPLY_S)
-    assert site.call_front("GET", "/added/").json() == {"pending": 0}
-
-
 def test_runs_are_adopted_after_kill_of_the_active_instance(site: Site) -> None:
     path = site.submit_job([make_step(3)], spec={"run_s": 5})
     wait_until(lambda: count_starts(site, path) == 3)
@@ -289,17 +264,6 @@
     assert site.wait_for_state(path, instance="n1") == "completed"
 
 
-def test_configuration_takes_effect_though_open_connections_are_silent(
-    site: Site,
-) -> None:
-    """All instances have just begun to wait for the next configuration."""
-    publish_added_queue(site, 3, "/third/")
-    wait_until(lambda: is_served_by_all(site, "/third/"), CONFIGURATION_APPLY_S)
-    site.cut_off_from_store(site.instance_names, freeze=True)
-    publish_added_queue(site, 4, "/later/")
-    wait_until(lambda: is_served_by_all(site, "/later/"), CONFIGURATION_APPLY_S)
-
-
 def test_runs_restart_elsewhere_after_worker_crash(site: Site) -> None:
     path = site.submit_job([make_step(4)], spec={"run_s": 1.5})
     wait_until(lambda: count_starts(site, path) == 4)
