--- a/tests/adapters/test_operator_channel.py
+++ b/tests/adapters/test_operator_channel.py
@@ -10,7 +10,7 @@
 from lagoonbeam_platform.store_client import KeyedItem, encode_keyed_record
 
 from lagoonbeam.core.clock import read_boot_time_s
-from lagoonbeam.errors import LogTruncatedError
+from lagoonbeam.errors import LogTruncatedError, ResponseLostError
 from lagoonbeam.site.platform_interface import JournalPage
 
 pytestmark = pytest.mark.anyio
@@ -29,6 +29,8 @@
         self.values = {"config": CONFIGURATION}
         self.records: list[bytes] = []
         self.is_truncated = False
+        self.is_unreachable = False
+        self.read_record_count = 0
         self.hides_records = False
         self.malformed_items: list[KeyedItem] = []
         self.page_as_of_s = float("-inf")
@@ -52,8 +54,11 @@
         if self.is_truncated:
             self.is_truncated = False
             raise LogTruncatedError("gone", oldest_offset=len(self.records))
+        if self.is_unreachable:
+            raise ResponseLostError("silent")
         self.page_as_of_s = read_boot_time_s()
         records = tuple(self.records[first_offset:])
+        self.read_record_count += len(records)
         if self.hides_records:
             records = ()
         return JournalPage(
@@ -152,3 +157,19 @@
     client.put("config", b'{"version": 2}')
     assert await channel.wait_for_newer(1, wait_s=0.0) is not None
     assert events == ["record.malformed"]
+
+
+async def test_versions_missed_in_an_outage_are_not_read_one_by_one() -> None:
+    client = FakeStoreClient()
+    channel = make_channel(client)
+    await channel.wait_for_newer(0, wait_s=0.0)
+    client.is_unreachable = True
+    with pytest.raises(ResponseLostError):
+        await channel.wait_for_newer(1, wait_s=0.0)
+    client.is_unreachable = False
+    for version in range(2, 20):
+        client.put("config", b'{"version": %d}' % version)
+    configuration = await channel.wait_for_newer(1, wait_s=0.0)
+    assert configuration is not None
+    assert configuration.version == 19
+    assert client.read_record_count == 0
