Let faults of the soak overlap on an instance that is being replaced

Cause: an instance that was being replaced was killed or replaced a second time; the later fault then removed or restarted an instance that was gone.

Change: an instance is replaced once, and a killed one is restarted unless it has been removed. Both new tests of tests/test_soak.py failed with KeyError.

--- a/harness/soak_faults.py
+++ b/harness/soak_faults.py
@@ -49,6 +49,7 @@
         leaving_times: Workers listed as leaving: name, from when, until when.
         cut_routes: Routes that are cut at present.
         replacement_count: Number of instances started as replacements.
+        replaced_instances: Instances that are, or have been, replaced.
     """
 
     cluster: Cluster
@@ -62,6 +63,7 @@
     leaving_times: list[tuple[str, float, float]] = field(default_factory=list)
     cut_routes: set[tuple[str, str]] = field(default_factory=set)
     replacement_count: int = 0
+    replaced_instances: set[str] = field(default_factory=set)
     drain_exit_codes: list[int] = field(default_factory=list)
 
 
@@ -90,6 +92,14 @@
     return run.rng.choice(running_instances)
 
 
+async def restart_unless_removed(
+    run: SoakRun, name: str, **scheduler_overrides: Any
+) -> None:
+    """Restarts a killed instance, unless it was replaced meanwhile."""
+    if name in run.cluster.instances:
+        await in_thread(run.cluster.start_instance, name, **scheduler_overrides)
+
+
 async def apply_cuts(run: SoakRun) -> None:
     """Sends the present cuts to the relay."""
     cuts = [list(pair) for pair in run.cut_routes]
@@ -149,7 +159,7 @@
     name = choose_instance(run)
     await in_thread(run.cluster.kill_instance, name)
     await asyncio.sleep(run.rng.uniform(0.5, 4))
-    await in_thread(run.cluster.start_instance, name)
+    await restart_unless_removed(run, name)
 
 
 @register_fault
@@ -172,16 +182,19 @@
     if name not in run.cluster.instances:
         return
     await in_thread(run.cluster.kill_instance, name)
-    await in_thread(run.cluster.start_instance, name, fault_points=[point])
+    await restart_unless_removed(run, name, fault_points=[point])
     await asyncio.sleep(6)
     await in_thread(run.cluster.kill_instance, name)
-    await in_thread(run.cluster.start_instance, name)
+    await restart_unless_removed(run, name)
 
 
 @register_fault
 async def instance_replaced(run: SoakRun) -> None:
     """An instance is drained and replaced by a new one."""
     name = choose_instance(run)
+    if name in run.replaced_instances:
+        return
+    run.replaced_instances.add(name)
     old = run.cluster.instances[name]
     run.replacement_count += 1
     new = f"{old.zone}-r{run.replacement_count}"
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -2,9 +2,15 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
+import random
 import subprocess
 import sys
+from types import SimpleNamespace
+from typing import Any
+
+from harness import soak_faults
 
 
 class TestSoak:
@@ -23,3 +29,60 @@
         summary = json.loads(done.stdout.splitlines()[-1])
         assert summary["violations"] == {}
         assert summary["requests"] > 30
+
+
+class FakeCluster:
+    """One running instance; others that are added do not run."""
+
+    def __init__(self) -> None:
+        self.instances = {"z1-0": SimpleNamespace(zone="z1")}
+        self.removes_killed_instances = False
+
+    def is_running(self, process: str) -> bool:
+        return process == "z1-0-scheduler"
+
+    def kill_instance(self, name: str) -> None:
+        if self.removes_killed_instances:
+            self.remove_instance(name)
+
+    def start_instance(self, name: str) -> None:
+        assert self.instances[name]
+
+    def add_instance(self, name: str, zone: str, *ports: int) -> None:
+        self.instances[name] = SimpleNamespace(zone=zone)
+
+    def mark_instance_leaving(self, name: str) -> None:
+        assert name in self.instances
+
+    def drain_instance(self, name: str) -> list[int]:
+        assert name in self.instances
+        return [0, 0]
+
+    def remove_instance(self, name: str) -> None:
+        del self.instances[name]
+
+
+def make_run() -> tuple[FakeCluster, soak_faults.SoakRun]:
+    cluster = FakeCluster()
+    fake: Any = cluster
+    return cluster, soak_faults.SoakRun(fake, random.Random(1))
+
+
+def test_instance_replaced_while_it_is_down_does_not_end_the_run() -> None:
+    cluster, run = make_run()
+    cluster.removes_killed_instances = True
+    asyncio.run(soak_faults.instance_killed(run))
+    assert not cluster.instances
+
+
+def test_two_replacements_of_one_instance_do_not_end_the_run() -> None:
+    cluster, run = make_run()
+
+    async def replace_twice() -> None:
+        await asyncio.gather(
+            soak_faults.instance_replaced(run),
+            soak_faults.instance_replaced(run),
+        )
+
+    asyncio.run(replace_twice())
+    assert list(cluster.instances) == ["z1-r1"]
