Apply the limits of a new configuration to open connections

What operators saw: a configuration that changes the largest request or a time-out of connections was acknowledged, read and reported as in force, and changed nothing; the servers kept the limits that they started with.

Cause: the limits were decoded, and nothing read them.

Change: an instance hands each configuration that comes into force to its program, which sets the limits of the servers for callers, also for connections that wait already. RequestLimits, a copy of ServerLimits, is gone.

--- a/harness/site_mutations.py
+++ b/harness/site_mutations.py
@@ -112,6 +112,14 @@
         "tests/adapters/test_store_reads.py"
         "::test_response_that_stops_midway_does_not_delay_a_record",
     ),
+    Mutation(
+        "site: limits of a new configuration take effect",
+        "lagoonbeam/site/instance.py",
+        "            self.on_configuration(new_configuration)\n",
+        "",
+        "tests/test_site_configuration.py"
+        "::test_limits_on_requests_take_effect_on_all_instances",
+    ),
     Mutation(
         "site: a peer without a route does not try the store",
         "lagoonbeam/site/store_transport.py",
--- a/lagoonbeam/core/http_server.py
+++ b/lagoonbeam/core/http_server.py
@@ -63,9 +63,9 @@
 Handler = Callable[[Request], Awaitable[Response]]
 
 
-@dataclass(slots=True)
+@dataclass(frozen=True, slots=True)
 class ServerLimits:
-    """Limits on requests; the fields may change while the server runs.
+    """Limits on requests.
 
     Attributes:
         header_bytes: Largest total size of the target and header fields.
@@ -92,8 +92,15 @@
         self._header_bytes = 0
         self._is_receiving = False
         self._parsed_requests: list[Request] = []
+        self._waiting_since_s = 0.0
+        self._receive_scope = anyio.CancelScope()
         self.error_status = 0
 
+    def set_limits(self, limits: ServerLimits) -> None:
+        """Changes the limits, also of the request that is being received."""
+        self._limits = limits
+        self._receive_scope.deadline = self._get_deadline_s()
+
     def on_message_begin(self) -> None:
         self._request = Request(received_at_s=time.monotonic())
         self._body = bytearray()
@@ -132,21 +139,26 @@
         request must be ignored.
         """
         while not self._parsed_requests and not self.error_status:
-            limits = self._limits
-            timeout_s = (
-                limits.header_timeout_s
-                if self._is_receiving
-                else limits.idle_timeout_s
+            self._waiting_since_s = anyio.current_time()
+            self._receive_scope = anyio.CancelScope(
+                deadline=self._get_deadline_s()
             )
-            with anyio.move_on_after(timeout_s) as scope:
+            with self._receive_scope:
                 data = await self._stream.receive(READ_CHUNK_BYTES)
-            if scope.cancelled_caught:
+            if self._receive_scope.cancelled_caught:
                 return None
             self._parser.feed_data(data)
         return (
             self._parsed_requests.pop(0) if self._parsed_requests else Request()
         )
 
+    def _get_deadline_s(self) -> float:
+        return self._waiting_since_s + (
+            self._limits.header_timeout_s
+            if self._is_receiving
+            else self._limits.idle_timeout_s
+        )
+
 
 class HttpServer:
     """Serves HTTP/1.1 with a task per connection.
@@ -158,7 +170,8 @@
 
     def __init__(self, handler: Handler, limits: ServerLimits | None = None):
         self._handler = handler
-        self.limits = limits or ServerLimits()
+        self._limits = limits or ServerLimits()
+        self._readers: set[_RequestReader] = set()
         self.draining = False
         self.open_requests = 0
         self._idle_scopes: set[anyio.CancelScope] = set()
@@ -180,6 +193,12 @@
         async with listener:
             await listener.serve(self._serve_connection)
 
+    def set_limits(self, limits: ServerLimits) -> None:
+        """Changes the limits, also those of open connections."""
+        self._limits = limits
+        for reader in self._readers:
+            reader.set_limits(limits)
+
     def drain(self) -> None:
         """Closes idle connections at once, busy ones after their response."""
         self.draining = True
@@ -187,9 +206,10 @@
             scope.cancel()
 
     async def _serve_connection(self, stream: anyio.abc.SocketStream) -> None:
+        reader = _RequestReader(stream, self._limits)
+        self._readers.add(reader)
         try:
             enable_tcp_keep_alive(stream)
-            reader = _RequestReader(stream, self.limits)
             while True:
                 request = None
                 with anyio.CancelScope() as scope:
@@ -229,6 +249,7 @@
         except httptools.HttpParserError as error:
             _LOGGER.info("closing connection: malformed request: %s", error)
         finally:
+            self._readers.discard(reader)
             with anyio.CancelScope(shield=True):
                 await anyio.aclose_forcefully(stream)
 
--- a/lagoonbeam/site/instance.py
+++ b/lagoonbeam/site/instance.py
@@ -4,6 +4,7 @@
 
 import random
 import secrets
+from collections.abc import Callable
 from dataclasses import dataclass
 
 import anyio
@@ -16,6 +17,7 @@
 from lagoonbeam.site.job_service import JobService
 from lagoonbeam.site.journal_appender import JournalAppender, claim_term
 from lagoonbeam.site.journal_follower import JournalFollower, add_jitter
+from lagoonbeam.site.model import Configuration
 from lagoonbeam.site.platform_interface import JournalWriter, PlatformServices
 from lagoonbeam.site.policies import PolicyNames, make_policies
 from lagoonbeam.site.records import InstanceJoined
@@ -72,6 +74,12 @@
         time_limits: Time limits set by the platform.
         decisions: The decision log.
         policy_names: Names of the scheduling policies; the defaults if None.
+
+    Attributes:
+        on_configuration: Called with each configuration that comes into
+            force.
+        follower: Keeps the replica of the state.
+        service: Accepts, cancels and looks up jobs.
     """
 
     def __init__(
@@ -91,6 +99,9 @@
         self._incarnation = f"{address.instance}-{secrets.token_hex(6)}"
         self._scheduler: Scheduler | None = None
         self._takeover_jitter_s = random.uniform(0, TAKEOVER_JITTER_S)
+        self.on_configuration: Callable[[Configuration], None] = (
+            lambda configuration: None
+        )
         self.follower = JournalFollower(
             platform_services.journal_store, decisions
         )
@@ -185,6 +196,7 @@
         self.service.configuration_synced_s = source.synced_s
         if new_configuration is not None:
             self.service.configuration = new_configuration
+            self.on_configuration(new_configuration)
             self._decisions.emit(
                 Event.CONFIGURATION_IN_FORCE,
                 version=new_configuration.version,
--- a/lagoonbeam/site/model.py
+++ b/lagoonbeam/site/model.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from lagoonbeam.core.http_server import ServerLimits
 from lagoonbeam.types import OrganisationName, WorkerName, ZoneName
 
 
@@ -178,23 +179,6 @@
     is_public: bool = False
 
 
-@dataclass(frozen=True, slots=True)
-class RequestLimits:
-    """Limits on callers' requests.
-
-    Attributes:
-        header_bytes: Maximum size of the header fields.
-        body_bytes: Maximum size of the body.
-        header_timeout_s: Time-out for receiving a request.
-        idle_timeout_s: Time-out for idle connections.
-    """
-
-    header_bytes: int = 16_384
-    body_bytes: int = 262_144
-    header_timeout_s: float = 3.0
-    idle_timeout_s: float = 15.0
-
-
 @dataclass(frozen=True, slots=True)
 class Configuration:
     """The configuration published by operators.
@@ -213,7 +197,7 @@
     organisations: dict[OrganisationName, Organisation] = field(
         default_factory=dict
     )
-    limits: RequestLimits = RequestLimits()
+    limits: ServerLimits = ServerLimits()
     spare_services: frozenset[str] = frozenset()
 
     def find_route(self, host: str, path: str) -> QueueRoute | None:
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -75,6 +75,18 @@
     run_with_server(test, ServerLimits(header_bytes=200, body_bytes=100))
 
 
+def test_shorter_idle_timeout_ends_connections_that_are_idle_already() -> None:
+    async def test(server: HttpServer, port: int) -> None:
+        async with await anyio.connect_tcp(HOST, port) as stream:
+            await stream.send(b"GET / HTTP/1.1\r\n\r\n")
+            await stream.receive()
+            server.set_limits(ServerLimits(idle_timeout_s=0.1))
+            with anyio.fail_after(1), pytest.raises(anyio.EndOfStream):
+                await stream.receive()
+
+    run_with_server(test)
+
+
 def test_slow_sender_times_out_without_blocking_other_clients() -> None:
     """A client stops in the middle of its request line."""
 
--- a/tests/test_site_configuration.py
+++ b/tests/test_site_configuration.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
+import secrets
 import time
 from collections.abc import Iterator
 from pathlib import Path
 
 import pytest
 
-from harness.site import Site, SiteConfig, make_configuration
+from harness.site import Site, SiteConfig, make_configuration, make_step
 
 CONFIGURATION_APPLY_S = 2.0
 """Time within which a configuration must be in force on all instances."""
@@ -48,6 +49,24 @@
     assert site.call_front("GET", "/added/").json() == {"pending": 0}
 
 
+def test_limits_on_requests_take_effect_on_all_instances(site: Site) -> None:
+    body = {"spec": 100 * "x", "steps": [make_step()]}
+
+    def is_refused(instance: str) -> bool:
+        path = f"/checks/{secrets.token_hex(8)}"
+        response = site.call_front("POST", path, instance=instance, body=body)
+        return response.status_code == 413
+
+    assert not any(map(is_refused, site.instance_names))
+    site.publish_configuration(
+        make_configuration(2, limits={"max_body_bytes": 50})
+    )
+    deadline_s = time.monotonic() + CONFIGURATION_APPLY_S
+    while not all(map(is_refused, site.instance_names)):
+        assert time.monotonic() < deadline_s, "the limit is not in force"
+        time.sleep(0.05)
+
+
 def test_configuration_takes_effect_though_open_connections_are_silent(
     site: Site,
 ) -> None:
