--- a/lagoonbeam/site/model.py
+++ b/lagoonbeam/site/model.py
@@ -171,12 +171,14 @@
         host: Host name that callers use.
         path_prefix: Path up to the job identifier.
         is_public: Whether requests need no API key.
+        timeout_s: Longest time that a request may take.
     """
 
     policy: QueuePolicy
     host: str
     path_prefix: str
     is_public: bool = False
+    timeout_s: float = float("inf")
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/test_site_configuration.py
+++ b/tests/test_site_configuration.py
@@ -67,6 +67,26 @@
         time.sleep(0.05)
 
 
+def test_shorter_timeout_of_a_route_bounds_the_wait_for_the_store(
+    site: Site,
+) -> None:
+    routes = [
+        {**route, "timeout_ms": 500, "path_prefix": f"/short{number}/"}
+        for number, route in enumerate(make_configuration(2)["routes"])
+    ]
+    site.publish_configuration(make_configuration(2, routes=routes))
+    wait_until_served_by_all(site, "/short0/")
+    site.set_store_faults(silent=True)
+    started_s = time.monotonic()
+    response = site.call_front(
+        "POST",
+        f"/short0/{secrets.token_hex(8)}",
+        body={"spec": "x", "steps": [make_step()]},
+    )
+    assert response.status_code in {503, 504}
+    assert time.monotonic() - started_s <= 0.5
+
+
 def test_configuration_takes_effect_though_open_connections_are_silent(
     site: Site,
 ) -> None:
