--- a/tests/adapters/test_store_reads.py
+++ b/tests/adapters/test_store_reads.py
@@ -94,6 +94,7 @@
 
     def __init__(self, peer_count: int):
         self.has_record = False
+        self.waits = True
         self.turned_away: set[str] = set()
         self.refused: set[str] = set()
         self.store = SilentServer(self._read_as_caller(OWN_HOST))
@@ -137,7 +138,8 @@
                 return Response(503)
             if "log-newest" in request.target:
                 return Response(200, b'{"items": [], "end_offset": 0}')
-            if "wait_ms" in request.target and not self.has_record:
+            must_wait = "wait_ms" in request.target and not self.has_record
+            if must_wait and self.waits:
                 await anyio.sleep(READ_WAIT_S)
             records = b"\0\0\0\x01r" if self.has_record else b""
             header = struct.pack(">QQ", len(records) // 5, 0)
@@ -263,6 +265,13 @@
         assert sent_s + READ_WAIT_S <= page.as_of_s <= read_boot_time_s()
 
 
+async def test_store_that_does_not_wait_does_not_date_a_page_ahead() -> None:
+    async with run_site(peer_count=0) as site:
+        site.waits = False
+        page = await site.client.read("keyed.op", 0, READ_WAIT_S)
+        assert page.as_of_s <= read_boot_time_s()
+
+
 async def test_page_with_records_covers_the_time_before_it_was_asked_for() -> (
     None
 ):
