--- a/harness/soak.py
+++ b/harness/soak.py
@@ -32,14 +32,12 @@
 from harness.soak_faults import (
     FAULTS,
     LEASE_S,
-    ORGANISATIONS,
     SCHEDULER_SETTINGS,
     WORKERS_PER_ZONE,
-    ZONES,
     SoakRun,
     in_thread,
-    make_rules,
 )
+from harness.soak_requests import ORGANISATIONS, ZONES, make_rules
 
 REQUESTS_PER_S = 6.0
 SETTLE_TIME_S = 25.0
--- a/harness/soak_faults.py
+++ b/harness/soak_faults.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import collections
-import contextlib
 import random
 import signal
 import time
@@ -12,14 +11,16 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-import httpx
-
 from harness.cluster import Cluster
 from harness.ports import reserve_free_ports
 from harness.retrying_client import JobSubmission
+from harness.soak_requests import (
+    ZONES,
+    cancel_job,
+    make_rules,
+    publish_rules_through,
+)
 
-ZONES = ["z1", "z2", "z3"]
-ORGANISATIONS = ["armor", "kiosks", "vestnes", "netmakers"]
 WORKERS_PER_ZONE = 4
 LEASE_S = 5.0
 SCHEDULER_SETTINGS = {
@@ -366,48 +367,3 @@
     for submission in open_submissions[:15]:
         url = run.rng.choice(run.cluster.list_entry_urls())
         await in_thread(cancel_job, run.cluster, url, submission)
-
-
-def make_rules(based_on: int, weight: float) -> dict[str, Any]:
-    """Returns the soak test's rules; documents differ in one weight."""
-    kinds = [{"name": "edge"}, {"name": "render"}]
-    return {
-        "based_on": based_on,
-        "organisations": [
-            {
-                "name": name,
-                "kinds": kinds,
-                "weight": weight if name == "kiosks" else 1.0,
-                "guarantees": [
-                    {"availability_zone": zone, "slots": 8} for zone in ZONES
-                ]
-                if name == "armor"
-                else [],
-            }
-            for name in ORGANISATIONS
-        ],
-    }
-
-
-def publish_rules_through(
-    cluster: Cluster, name: str, body: dict[str, Any]
-) -> int | None:
-    """Publishes rules; returns their version, or None if refused."""
-    with contextlib.suppress(httpx.HTTPError, KeyError):
-        reply = cluster.call_entry("PUT", "/v1/rules", instance=name, json=body)
-        return int(reply.json()["version"]) if reply.is_success else None
-    return None
-
-
-def cancel_job(cluster: Cluster, url: str, submission: JobSubmission) -> None:
-    """Cancels a job, found by submitting it again with the same key."""
-    headers = {
-        "authorization": f"Bearer token-{submission.organisation}",
-        "idempotency-key": submission.request_id,
-    }
-    with contextlib.suppress(httpx.HTTPError, KeyError):
-        reply = cluster.http_client.post(
-            f"{url}/v1/jobs", headers=headers, json=submission.body
-        )
-        job_id = reply.json()["job_id"]
-        cluster.http_client.delete(f"{url}/v1/jobs/{job_id}", headers=headers)
