--- a/lagoonbeam/scheduler/instance_catalog.py
+++ b/lagoonbeam/scheduler/instance_catalog.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+import contextlib
 import time
 from collections.abc import Callable, Iterable
 
 import anyio
+import msgspec
 
 from lagoonbeam.core.jobs import Job
 from lagoonbeam.core.planner import Planner
@@ -13,7 +15,11 @@
 from lagoonbeam.core.worker_pool import WorkerShape
 from lagoonbeam.errors import ImpossibleShapeError, UnavailableError
 from lagoonbeam.instances.base import InstanceDirectory, InstanceEntry
-from lagoonbeam.types import ZoneName
+from lagoonbeam.types import InstanceName, ZoneName
+
+LEAVING_HOLD_S = 15.0
+"""Seconds since the list last showed an instance as leaving, after which its
+being live is believed; a list that falls behind shows an earlier state."""
 
 
 class InstanceCatalog:
@@ -37,6 +43,7 @@
         self._on_read = on_read
         self._planners: dict[ZoneName, Planner] = {}
         self._planner_rules: RulesDocument | None = None
+        self._leaving_until_s: dict[InstanceName, float] = {}
 
     async def start(self) -> None:
         """Opens the adapter."""
@@ -49,14 +56,18 @@
     async def run(self) -> None:
         """Polls the list until cancelled; keeps the last one on a failure."""
         while True:
-            try:
-                entries = await self._directory.list_instances()
-            except UnavailableError:
-                pass
-            else:
-                self._replace_entries(entries)
+            with contextlib.suppress(UnavailableError):
+                await self.refresh()
             await anyio.sleep(self._directory.settings.poll_s)
 
+    async def refresh(self) -> None:
+        """Reads the list once.
+
+        Raises:
+            UnavailableError: If the list cannot be read.
+        """
+        self._replace_entries(await self._directory.list_instances())
+
     def list_workers(self, zone: ZoneName) -> list[InstanceEntry]:
         """Returns a zone's workers, sorted by name."""
         workers = (e for e in self.entries if e.role == "worker")
@@ -102,13 +113,24 @@
         return feasible_zones
 
     def _replace_entries(self, entries: Iterable[InstanceEntry]) -> None:
-        entries = list(entries)
+        entries = [self._keep_leaving(entry) for entry in entries]
         if entries != self.entries:
             self.entries = entries
             self._planners = self._build_planners()
             self._planner_rules = None
         self._on_read()
 
+    def _keep_leaving(self, entry: InstanceEntry) -> InstanceEntry:
+        """Returns the entry, as leaving if the list lately said so."""
+        now_s = time.monotonic()
+        if entry.state == "leaving":
+            self._leaving_until_s[entry.name] = now_s + LEAVING_HOLD_S
+        elif now_s < self._leaving_until_s.get(entry.name, now_s):
+            return msgspec.structs.replace(entry, state="leaving")
+        else:
+            self._leaving_until_s.pop(entry.name, None)
+        return entry
+
     def _build_planners(self) -> dict[ZoneName, Planner]:
         planners: dict[ZoneName, Planner] = {}
         for entry in self.entries:
