Judge a leaving worker from when the instance list showed it (soak)

The check counted from the change of the list, whether its answers showed the change or not. That a worker leaves is told by nothing else there. It counts from the first answer that could show it now; what the list shows later does not matter, so a list that falls behind afterwards excuses nothing.

--- a/harness/soak_faults.py
+++ b/harness/soak_faults.py
@@ -48,6 +48,9 @@
         rules_accepted_at_s: Acceptance time by rules version.
         seen_versions: Observed rules: instance, version in force and time.
         leaving_times: Workers listed as leaving: name, from when, until when.
+        list_faults: Faults of the instance list at present.
+        list_lags_s: How far the instance list lags, with the time of each
+            change; infinitely while it is down.
         cut_routes: Routes that are cut at present.
         replacement_count: Number of instances started as replacements.
         replaced_instances: Instances that are, or have been, replaced.
@@ -62,6 +65,8 @@
     rules_accepted_at_s: dict[int, float] = field(default_factory=dict)
     seen_versions: list[tuple[str, int, float]] = field(default_factory=list)
     leaving_times: list[tuple[str, float, float]] = field(default_factory=list)
+    list_faults: dict[str, Any] = field(default_factory=dict)
+    list_lags_s: list[tuple[float, float]] = field(default_factory=list)
     cut_routes: set[tuple[str, str]] = field(default_factory=set)
     replacement_count: int = 0
     replaced_instances: set[str] = field(default_factory=set)
@@ -326,22 +331,31 @@
     await in_thread(run.cluster.set_list_entry, name=worker, state="live")
 
 
+async def set_list_fault(run: SoakRun, **fault: Any) -> None:
+    """Sets a fault of the instance list, and records how far it lags then."""
+    await in_thread(
+        run.cluster.set_faults, run.cluster.instance_list_url, **fault
+    )
+    run.list_faults |= fault
+    is_down = run.list_faults.get("down", False)
+    lag_s = float("inf") if is_down else run.list_faults.get("lag_s", 0.0)
+    run.list_lags_s.append((time.time(), lag_s))
+
+
 @register_fault
 async def list_lags(run: SoakRun) -> None:
     """The instance list lags 10 s behind."""
-    url = run.cluster.instance_list_url
-    await in_thread(run.cluster.set_faults, url, lag_s=10.0)
+    await set_list_fault(run, lag_s=10.0)
     await asyncio.sleep(run.rng.uniform(3, 9))
-    await in_thread(run.cluster.set_faults, url, lag_s=0.0)
+    await set_list_fault(run, lag_s=0.0)
 
 
 @register_fault
 async def list_down(run: SoakRun) -> None:
     """The instance list is down."""
-    url = run.cluster.instance_list_url
-    await in_thread(run.cluster.set_faults, url, down=True)
+    await set_list_fault(run, down=True)
     await asyncio.sleep(run.rng.uniform(3, 9))
-    await in_thread(run.cluster.set_faults, url, down=False)
+    await set_list_fault(run, down=False)
 
 
 @register_fault
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -10,7 +10,10 @@
 from types import SimpleNamespace
 from typing import Any
 
+import pytest
+
 from harness import soak_faults
+from harness.soak import find_shown_s
 
 
 class TestSoak:
@@ -62,6 +65,24 @@
         del self.instances[name]
 
 
+LAG_OF_10_S_FROM_50_TO_58_S = [(50.0, 10.0), (58.0, 0.0)]
+
+
+@pytest.mark.parametrize(
+    ("changed_at_s", "shown_s"),
+    [(30.0, 30.0), (45.0, 45.0), (49.0, 49.0), (51.0, 58.0), (59.0, 59.0)],
+)
+def test_lagging_list_shows_a_change_late(
+    changed_at_s: float, shown_s: float
+) -> None:
+    assert find_shown_s(LAG_OF_10_S_FROM_50_TO_58_S, changed_at_s) == shown_s
+
+
+def test_list_that_is_down_shows_nothing() -> None:
+    down = [(50.0, float("inf")), (58.0, 0.0)]
+    assert find_shown_s(down, 51.0) == 58.0
+
+
 def make_run() -> tuple[FakeCluster, soak_faults.SoakRun]:
     cluster = FakeCluster()
     fake: Any = cluster
