Close the connection of a refusal whose request was not read, or read it (entry)

Cause: the entry answers 401, 403, 429 and others before it has read the body. httpx sends head and body one after the other; if the answer is sent between the two, the server ends the connection after it, and the response does not say so. The client takes it up for its next request, which gets no answer.

Reading of bodies is a module of its own.

test_connection_refused_before_its_body_arrived_is_usable_or_closed failed before each time (RemoteDisconnected, BrokenPipeError for a body 0.1 s later).

--- a/lagoonbeam/entry/application.py
+++ b/lagoonbeam/entry/application.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import itertools
 import math
 import time
 from collections.abc import Awaitable, Callable
@@ -11,7 +10,7 @@
 import anyio
 import msgspec
 from starlette.applications import Starlette
-from starlette.requests import ClientDisconnect, Request
+from starlette.requests import Request
 from starlette.responses import Response
 from starlette.routing import Route
 
@@ -41,11 +40,11 @@
     require_organisation,
 )
 from lagoonbeam.entry.problems import make_problem_response
+from lagoonbeam.entry.request_body import is_body_read, read_body
 from lagoonbeam.entry.requests import decode_job
 from lagoonbeam.entry.responses import make_json_response
 from lagoonbeam.entry.scheduler_client import SchedulerClient, expect_reply
 from lagoonbeam.errors import (
-    BodyTooLargeError,
     InvalidRequestError,
     LagoonbeamError,
     LinkError,
@@ -126,6 +125,12 @@
         """Adds authentication, the request limit and error responses."""
 
         async def handle_request(request: Request) -> Response:
+            response = await answer_request(request)
+            if not await is_body_read(request, self._settings.limits):
+                response.headers["connection"] = "close"
+            return response
+
+        async def answer_request(request: Request) -> Response:
             self.open_requests += 1
             started_s = time.monotonic()
             try:
@@ -154,7 +159,7 @@
     ) -> Response:
         organisation = require_organisation(token)
         wait_s = self._parse_wait_s(request)
-        body = await self._read_body(request)
+        body = await read_body(request, self._settings.limits)
         key = request.headers.get("idempotency-key", "").strip('"')
         job = decode_job(body, organisation=organisation, key=key)
         self._events.emit(
@@ -268,7 +273,7 @@
         self, request: Request, token: AccessToken
     ) -> Response:
         require_operator(token)
-        body = await self._read_body(request)
+        body = await read_body(request, self._settings.limits)
         message = PublishRules(body.decode(errors="replace"), token.role)
         reply = await self._schedulers.call_local(
             message, timeout_s=CALL_TIMEOUT_S
@@ -348,36 +353,6 @@
 
     # Request parsing
 
-    async def _read_body(self, request: Request) -> bytes:
-        """Reads a request body within the limits of size and time.
-
-        Raises:
-            BodyTooLargeError: If it is larger than the limit.
-            InvalidRequestError: If it is late or incomplete.
-        """
-        limits = self._settings.limits
-        chunks = []
-        size_bytes = 0
-        try:
-            with anyio.fail_after(limits.header_timeout_s):
-                async for chunk in request.stream():
-                    size_bytes += len(chunk)
-                    if size_bytes > limits.body_bytes:
-                        raise BodyTooLargeError(
-                            f"expected a body of at most {limits.body_bytes}"
-                            " bytes"
-                        )
-                    chunks.append(chunk)
-        except TimeoutError as error:
-            raise InvalidRequestError(
-                f"the request body took longer than {limits.header_timeout_s} s"
-            ) from error
-        except ClientDisconnect as error:
-            raise InvalidRequestError(
-                "the request body is incomplete: the connection ended"
-            ) from error
-        return b"".join(itertools.chain(chunks))
-
     def _parse_wait_s(self, request: Request) -> float:
         max_wait_s = self._settings.limits.wait_s
         return self._parse_query_number(request, "wait_s", 0.0, max_wait_s)
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -5,7 +5,9 @@
 
 from __future__ import annotations
 
+import http.client
 import socket
+import time
 from typing import Any
 
 import httpx
@@ -139,6 +141,36 @@
             == "completed"
         )
 
+    @pytest.mark.parametrize("body_delay_s", [0.0, 0.1, None])
+    def test_connection_refused_before_its_body_arrived_is_usable_or_closed(
+        self, cluster: Cluster, body_delay_s: float | None
+    ) -> None:
+        """Clients such as httpx send head and body one after the other."""
+        port = cluster.instances["z1-0"].entry_port
+        head = (
+            "POST /v1/jobs HTTP/1.1\r\nhost: a\r\n"
+            "authorization: Bearer unknown\r\ncontent-length: 2\r\n\r\n"
+        )
+        with socket.create_connection(("127.0.0.1", port), timeout=5) as stream:
+            stream.sendall(head.encode())
+            if body_delay_s is not None:
+                time.sleep(body_delay_s)
+                stream.sendall(b"{}")
+            first = read_response(stream)
+            assert first.status == 401
+            assert first.will_close == (body_delay_s is None)
+            if not first.will_close:
+                stream.sendall(head.encode() + b"{}")
+                assert read_response(stream).status == 401
+
+
+def read_response(stream: socket.socket) -> http.client.HTTPResponse:
+    """Reads one response whole."""
+    response = http.client.HTTPResponse(stream)
+    response.begin()
+    response.read()
+    return response
+
 
 class TestJobs:
     def test_other_organisations_jobs_are_hidden(
