Wait for the restarted instance before it is asked (test)

Cause: the scenario restarts the first instance of z1, waits for a line of its scheduler, and then publishes rules through the entry of the same instance, which is a process of its own and may not listen yet.

Change: the step waits until the instance is ready.

--- a/tests/test_promises.py
+++ b/tests/test_promises.py
@@ -164,6 +164,8 @@
         "snapshot_entries": 1,
     }
     context.cluster.start_instance(name, log=settings)
+    url = context.cluster.instances[name].url
+    context.cluster.wait_for_http(f"{url}/v1/ready")
     folder = context.cluster.folder
     context.wait_for(
         lambda: (
