--- a/harness/zone_mutations.py
+++ b/harness/zone_mutations.py
@@ -137,4 +137,20 @@
         "tests/test_zone_scheduler.py::TestCancellation"
         "::test_cancellation_while_an_intent_is_voided_is_kept",
     ),
+    Mutation(
+        "what a loaded state changes is acted on",
+        "lagoonbeam/scheduler/log_client.py",
+        "            changes, self._record_listeners",
+        "            (), self._record_listeners",
+        "tests/test_loaded_state.py"
+        "::test_job_in_a_loaded_state_is_not_forgotten",
+    ),
+    Mutation(
+        "a list that falls behind brings no leaving worker back",
+        "lagoonbeam/scheduler/instance_catalog.py",
+        "        elif now_s < self._leaving_until_s.get(entry.name, now_s):",
+        "        elif False:",
+        "tests/test_instance_catalog.py"
+        "::test_list_that_falls_behind_brings_no_leaving_worker_back",
+    ),
 ]
