Answer 500 when a handler fails, and refuse calls that cannot be relayed

Cause: an exception of a request handler left the task of its connection, which ends the server and with it the instance. The handler of relayed calls raised UnicodeEncodeError for a target that is not ASCII; one with line breaks became further header fields of the call to the store.

Change: the server answers 500 and logs the error; a relayed call that is not one HTTP request, or has no usable timeout, is refused with 400.

test_failing_handler_does_not_end_the_server failed before (connection ended), and test_relayed_call_that_cannot_be_sent_is_refused with each of its three calls.

--- a/lagoonbeam/core/http_server.py
+++ b/lagoonbeam/core/http_server.py
@@ -164,7 +164,8 @@
     """Serves HTTP/1.1 with a task per connection.
 
     Args:
-        handler: Returns the response to a request; must not raise.
+        handler: Returns the response to a request; if it raises, the
+            response is 500.
         limits: Limits on requests.
     """
 
@@ -227,7 +228,7 @@
                     return
                 self.open_requests += 1
                 try:
-                    response = await self._handler(request)
+                    response = await self._call_handler(request)
                     connection_header = request.headers.get(
                         "connection", ""
                     ).lower()
@@ -253,6 +254,14 @@
             with anyio.CancelScope(shield=True):
                 await anyio.aclose_forcefully(stream)
 
+    async def _call_handler(self, request: Request) -> Response:
+        try:
+            return await self._handler(request)
+        except Exception:
+            # An error of one request must not end the process.
+            _LOGGER.exception("%s %s failed", request.method, request.target)
+            return Response(500)
+
     async def _send(
         self,
         stream: anyio.abc.SocketStream,
--- a/lagoonbeam/site/relay.py
+++ b/lagoonbeam/site/relay.py
@@ -28,6 +28,8 @@
 """HTTP statuses with which the store rejects a call without effect."""
 FAILED_PEER_PAUSE_S = 2.0
 """Seconds for which a peer is not used after it failed to relay a call."""
+MAX_RELAYED_TIMEOUT_S = 60.0
+"""Longest timeout of a relayed call."""
 RELAY_HOP_ALLOWANCE_S = 0.3
 """Seconds added to a call's timeout for the hop through a peer."""
 
@@ -249,6 +251,8 @@
         call = _CALL_DECODER.decode(request.body)
     except msgspec.MsgspecError:
         return Response(400)
+    if not _is_sendable(call):
+        return Response(400)
     try:
         response = await call_store(call)
     except ResponseLostError:
@@ -258,3 +262,14 @@
     return Response(
         200, _ENCODER.encode(_RelayedResponse(response.status, response.body))
     )
+
+
+def _is_sendable(call: RelayedCall) -> bool:
+    """Returns whether a call can be written as one HTTP request."""
+    request_line = call.method + call.target
+    return (
+        request_line.isascii()
+        and request_line.isprintable()
+        and " " not in request_line
+        and 0 < call.timeout_s <= MAX_RELAYED_TIMEOUT_S
+    )
--- a/tests/site/test_relay.py
+++ b/tests/site/test_relay.py
@@ -3,6 +3,7 @@
 from collections.abc import Awaitable, Callable
 
 import anyio
+import msgspec
 import pytest
 
 from harness.ports import reserve_free_ports
@@ -116,3 +117,22 @@
         assert not peer.call_count
 
     anyio.run(main)
+
+
+@pytest.mark.parametrize(
+    "call",
+    [
+        RelayedCall("GET", "/\u0142", b"", 0.5),
+        RelayedCall("GET", "/x HTTP/1.1\r\nA: b", b"", 0.5),
+        RelayedCall("", "", b"", float("nan")),
+    ],
+)
+def test_relayed_call_that_cannot_be_sent_is_refused(call: RelayedCall) -> None:
+    peer = FakePeer("127.0.5.1", 200)
+    request = Request("POST", "/relay", body=msgspec.msgpack.encode(call))
+
+    async def main() -> None:
+        assert (await peer.handle(request)).status == 400
+
+    anyio.run(main)
+    assert not peer.call_count
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -87,6 +87,25 @@
     run_with_server(test)
 
 
+def test_failing_handler_does_not_end_the_server() -> None:
+    async def fail_once(request: Request) -> Response:
+        if request.target == "/fails":
+            raise ValueError("unexpected")
+        return Response(200)
+
+    async def main() -> None:
+        server = HttpServer(fail_once)
+        async with anyio.create_task_group() as tasks:
+            port = await tasks.start(server.serve, HOST, 0)
+            client = HttpClient(HOST, port)
+            failed = await client.call("GET", "/fails", timeout_s=1)
+            assert failed.status == 500
+            assert (await client.call("GET", "/", timeout_s=1)).status == 200
+            tasks.cancel_scope.cancel()
+
+    anyio.run(main)
+
+
 def test_slow_sender_times_out_without_blocking_other_clients() -> None:
     """A client stops in the middle of its request line."""
 
