--- a/lagoonbeam/site/journal_follower.py
+++ b/lagoonbeam/site/journal_follower.py
@@ -177,24 +177,31 @@
         while True:
             try:
                 snapshot = await self._store.load_snapshot()
+                has_loaded = self._load_if_newer(snapshot)
             except MalformedDataError as error:
                 self._decisions.emit(
                     Event.SNAPSHOT_MALFORMED, cause=error.detail
                 )
+                await anyio.sleep(add_jitter(RETRY_DELAY_S))
                 return
             except LagoonbeamError as error:
                 self._handle_read_failure(error)
                 await anyio.sleep(add_jitter(RETRY_DELAY_S))
                 continue
-            if snapshot is not None and snapshot.offset > self.offset:
-                self.state = decode_state(snapshot.data)
-                self.offset = snapshot.offset
-                self.snapshot_offset = snapshot.offset
-                self._decisions.emit(Event.SNAPSHOT_LOADED, offset=self.offset)
-            elif self.offset:
+            if self.offset and not has_loaded:
                 await anyio.sleep(add_jitter(RETRY_DELAY_S))
             return
 
+    def _load_if_newer(self, snapshot: Snapshot | None) -> bool:
+        """Loads a snapshot that is newer than the replica; returns whether."""
+        if snapshot is None or snapshot.offset <= self.offset:
+            return False
+        self.state = decode_state(snapshot.data)
+        self.offset = snapshot.offset
+        self.snapshot_offset = snapshot.offset
+        self._decisions.emit(Event.SNAPSHOT_LOADED, offset=self.offset)
+        return True
+
     async def _pause(self) -> None:
         self._is_pausing = True
         with anyio.move_on_after(add_jitter(FOLLOWER_READ_INTERVAL_S)):
--- a/tests/site/test_journal_follower.py
+++ b/tests/site/test_journal_follower.py
@@ -5,13 +5,18 @@
 import anyio
 import pytest
 
+from lagoonbeam.errors import LogTruncatedError
 from lagoonbeam.site import journal_follower as follower_module
 from lagoonbeam.site.decision_log import DecisionLog
 from lagoonbeam.site.job_service import JobService
 from lagoonbeam.site.journal_appender import JournalAppender
 from lagoonbeam.site.journal_follower import JournalFollower
 from lagoonbeam.site.model import JobState, RunEndReason
-from lagoonbeam.site.platform_interface import JournalPage, JournalWriter
+from lagoonbeam.site.platform_interface import (
+    JournalPage,
+    JournalWriter,
+    Snapshot,
+)
 from lagoonbeam.site.records import (
     JobAccepted,
     JobCancelled,
@@ -192,3 +197,26 @@
         assert await replica.follower.wait_for_offset(1, 2.0)
         assert replica.follower.age_s >= 0.3
         tasks.cancel_scope.cancel()
+
+
+class MalformedSnapshotStore(CountingStore):
+    """A store whose history is gone, with a snapshot that is unreadable."""
+
+    async def read(self, first_offset: int, *, wait_s: float) -> JournalPage:
+        self.read_count += 1
+        raise LogTruncatedError("gone")
+
+    async def load_snapshot(self) -> Snapshot | None:
+        return Snapshot(5, b"malformed")
+
+
+async def test_malformed_snapshot_neither_ends_nor_floods_the_follower() -> (
+    None
+):
+    store = MalformedSnapshotStore()
+    follower = JournalFollower(store, DecisionLog("n0", "z1", descriptor=2))
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(follower.run)
+        await anyio.sleep(0.3)
+        tasks.cancel_scope.cancel()
+    assert 1 <= store.read_count <= 0.3 / (0.5 * follower_module.RETRY_DELAY_S)
