Refuse jobs that no instance could hold, and negative amounts

Cause: the platform's API took any number of tasks and repetitions. Negative amounts passed too and would have counted as free capacity. The product's own API bounded the single numbers, but not their product.

--- a/lagoonbeam/site/requests.py
+++ b/lagoonbeam/site/requests.py
@@ -5,6 +5,7 @@
 import hashlib
 import secrets
 import time
+from collections.abc import Iterable
 from typing import Annotated, Literal
 
 import msgspec
@@ -28,6 +29,8 @@
 MAX_STEPS = 64
 MAX_TASKS_PER_STEP = 4_096
 MAX_OCCURRENCES = 10_000
+MAX_TASKS_PER_JOB = 20_000
+"""Most tasks of all occurrences of a job; every instance holds them all."""
 JOB_ID_HEX_DIGITS = 16
 """Length of a job identifier, as the platform's workers expect."""
 BYTES_PER_MB = 1_000_000
@@ -159,6 +162,20 @@
     return submission
 
 
+def check_task_count(tasks_per_step: Iterable[int], repeat_count: int) -> None:
+    """Checks that a job is small enough to be held in memory.
+
+    Raises:
+        InvalidRequestError: If it has more than `MAX_TASKS_PER_JOB` tasks.
+    """
+    task_count = sum(tasks_per_step) * max(1, repeat_count)
+    if task_count > MAX_TASKS_PER_JOB:
+        raise InvalidRequestError(
+            f"got a job of {task_count} tasks, expected at most"
+            f" {MAX_TASKS_PER_JOB}"
+        )
+
+
 def make_job_request(
     submission: Submission,
     *,
@@ -177,7 +194,7 @@
 
     Raises:
         InvalidRequestError: If the key is too long, the urgency does not match
-            the queue, or the shape is not supported.
+            the queue, the shape is not supported, or there are too many tasks.
     """
     check_idempotency_key(idempotency_key)
     requested_priority = URGENCY_RANKS.get(submission.urgency, queue.priority)
@@ -187,6 +204,7 @@
             f" which has priority {queue.priority}"
         )
     repeat = submission.repeat or RepeatRequest(1)
+    check_task_count((step.tasks for step in submission.steps), repeat.count)
     return JobRequest(
         job_id=make_job_id(organisation, idempotency_key),
         queue=queue,
--- a/tests/adapters/test_decoders.py
+++ b/tests/adapters/test_decoders.py
@@ -153,7 +153,20 @@
 
 
 @pytest.mark.parametrize(
-    "steps", [[], [{"count": 0}], [{"after": [0]}], [{"after": [1]}, {}]]
+    "steps",
+    [
+        [],
+        [{"count": 0}],
+        [{"after": [0]}],
+        [{"after": [1]}, {}],
+        [{"count": 1_000_000_000}],
+        65 * [{}],
+        [{"cpu": -1}],
+        [{"mem_mb": -1}],
+        [{"gpu": -1}],
+        [{"estimated_ms": -1}],
+        [{"max_per_server": -1}],
+    ],
 )
 def test_invalid_steps_are_rejected(steps: list[object]) -> None:
     body = json.dumps({"spec": "x", "steps": steps}).encode()
@@ -161,6 +174,24 @@
         decode_job(body, "a" * 16, ROUTE, None)
 
 
+@pytest.mark.parametrize(
+    "fields",
+    [
+        {"repeat_count": -1},
+        {"repeat_count": 1_000_000_000},
+        {"repeat_count": 10_000, "steps": [{"count": 1_000}]},
+        {"interval_ms": -1},
+        {"spec": 5_000 * "x"},
+    ],
+)
+def test_job_that_no_instance_could_hold_is_rejected(
+    fields: dict[str, object],
+) -> None:
+    body = json.dumps({"spec": "x", "steps": [{}], **fields}).encode()
+    with pytest.raises(InvalidRequestError):
+        decode_job(body, "a" * 16, ROUTE, None)
+
+
 def test_route_with_longest_prefix_is_found() -> None:
     def route(name: str, prefix: str) -> dict[str, object]:
         return {
--- a/tests/site/test_requests.py
+++ b/tests/site/test_requests.py
@@ -29,6 +29,12 @@
     )
 
 
+def test_job_that_no_instance_could_hold_is_rejected() -> None:
+    body = {"steps": [{"tasks": 4_096}], "repeat": {"count": 10_000}}
+    with pytest.raises(InvalidRequestError):
+        decode_job_request(body)
+
+
 def test_step_fields_are_all_converted() -> None:
     step = {
         "tasks": 4,
