Name the publication of rules that a loaded state brings into force

Cause: the record that told listeners of changed rules named no publication; a listener that logs the result of a publication looked it up and raised KeyError, which ended the scheduler when it loaded a peer's state.

test_rules_in_a_loaded_state_do_not_end_the_process failed before with KeyError, with and without the result.

--- a/lagoonbeam/core/cluster_state.py
+++ b/lagoonbeam/core/cluster_state.py
@@ -8,11 +8,15 @@
 
 import collections
 from collections.abc import Iterator
-from dataclasses import dataclass, field
 from functools import singledispatchmethod
 
 import msgspec
 
+from lagoonbeam.core.encoded_state import (
+    EncodedState,
+    LoggedJob,
+    PublicationResult,
+)
 from lagoonbeam.core.jobs import Job, JobPhase, JobStatus
 from lagoonbeam.core.records import (
     AnyRecord,
@@ -48,53 +52,6 @@
 """Retention of a finished job and its idempotency key."""
 
 
-@dataclass
-class LoggedJob:
-    """The records of a job that have been folded.
-
-    Attributes:
-        job: The job.
-        intent: Launch intent of a non-idempotent job, unless voided.
-        finished: Its outcome, once finished.
-    """
-
-    job: Job
-    intent: LaunchIntended | None = None
-    finished: JobFinished | None = None
-
-
-@dataclass
-class PublicationResult:
-    """The result of a publication of rules.
-
-    Attributes:
-        publication_id: The publication.
-        version: Version of the rules in force after it.
-        code: Error code if it was refused, else empty.
-        detail: Reason if it was refused, else empty.
-    """
-
-    publication_id: str
-    version: int
-    code: str = ""
-    detail: str = ""
-
-
-@dataclass
-class _EncodedState:
-    """A snapshot of a `ClusterState`, as stored in the log."""
-
-    version: int = 0
-    document: str = ""
-    next_offset: Offset = 0
-    writers: dict[str, int] = field(default_factory=dict)
-    terms: dict[ZoneName, Term] = field(default_factory=dict)
-    jobs: list[LoggedJob] = field(default_factory=list)
-    verdicts: list[PublicationResult] = field(default_factory=list)
-    early: list[JobFinished] = field(default_factory=list)
-    drained: list[WorkerName] = field(default_factory=list)
-
-
 class ClusterState:
     """The state after all entries of the log up to `next_offset`.
 
@@ -200,7 +157,7 @@
             msgspec.json.encode(self.rules).decode() if self.rules else ""
         )
         return msgspec.json.encode(
-            _EncodedState(
+            EncodedState(
                 version=self.rules_version,
                 document=document,
                 next_offset=self.next_offset,
@@ -227,7 +184,7 @@
             Records with the effect of the entries that are skipped thereby,
             without launch intents.
         """
-        snapshot = msgspec.json.decode(data, type=_EncodedState)
+        snapshot = msgspec.json.decode(data, type=EncodedState)
         if snapshot.next_offset < self.next_offset:
             return []
         changes = list(self._iterate_changes(snapshot))
@@ -252,13 +209,14 @@
         self._index_jobs()
         return changes
 
-    def _iterate_changes(self, snapshot: _EncodedState) -> Iterator[AnyRecord]:
+    def _iterate_changes(self, snapshot: EncodedState) -> Iterator[AnyRecord]:
         """Yields what a snapshot changes; terms first, as they end others."""
         for zone, term in snapshot.terms.items():
             if term != self.get_term(zone):
                 yield TermStarted(zone, term)
         if snapshot.version != self.rules_version:
-            yield RulesPublished("", snapshot.document, "")
+            publication_id = snapshot.find_publication_in_force()
+            yield RulesPublished(publication_id, snapshot.document, "")
         drained_workers = set(snapshot.drained)
         for worker in sorted(drained_workers ^ self.drained_workers):
             yield EndpointDrained(worker, worker in drained_workers)
--- a/lagoonbeam/scheduler/process.py
+++ b/lagoonbeam/scheduler/process.py
@@ -9,6 +9,7 @@
 import anyio
 import anyio.abc
 
+from lagoonbeam.core.encoded_state import PublicationResult
 from lagoonbeam.core.events import EventLog
 from lagoonbeam.core.fault_points import FaultPoints
 from lagoonbeam.core.jobs import Job, JobStatus
@@ -329,9 +330,11 @@
         elif isinstance(record, JobFinished):
             self.job_registry.discard_announced_status(record.job_id)
         elif isinstance(record, RulesPublished):
-            publication_result = self.log_client.state.publication_results[
-                record.publication_id
-            ]
+            state = self.log_client.state
+            publication_result = state.publication_results.get(
+                record.publication_id,
+                PublicationResult("", state.rules_version),
+            )
             self.events.emit(
                 "rules.refused"
                 if publication_result.code
--- a/lagoonbeam/scheduler/takeover_recovery.py
+++ b/lagoonbeam/scheduler/takeover_recovery.py
@@ -6,7 +6,7 @@
 
 import anyio
 
-from lagoonbeam.core.cluster_state import LoggedJob
+from lagoonbeam.core.encoded_state import LoggedJob
 from lagoonbeam.core.jobs import JobOutcome
 from lagoonbeam.core.planned_job import PlannedJob
 from lagoonbeam.core.records import JobAccepted, Term
--- a/tests/test_loaded_state.py
+++ b/tests/test_loaded_state.py
@@ -26,12 +26,14 @@
 )
 from lagoonbeam.log.base import LogPage
 from lagoonbeam.scheduler.log_client import LogClient
+from lagoonbeam.scheduler.process import SchedulerProcess
 from tests.fakes import (
     TERM,
     ZONE,
     FakeLog,
     ZoneHarness,
     make_job,
+    make_settings,
     run_zone_scheduler,
 )
 from tests.test_log_client import make_job_accepted, run_log_client
@@ -81,6 +83,26 @@
         assert rules_in_effect == [harness.log_client.state.rules]
 
 
+@pytest.mark.parametrize("is_result_kept", [True, False])
+def test_rules_in_a_loaded_state_do_not_end_the_process(
+    is_result_kept: bool,
+) -> None:
+    state = ClusterState()
+    document = json.dumps({"based_on": 0, "organisations": []})
+    published = RulesPublished("p", document, "ops")
+    state.fold(0, RecordBatch("peer", 0, (published,)))
+    if not is_result_kept:
+        state.publication_results.clear()
+    process = SchedulerProcess(make_settings())
+    process.log_client.load(state.encode())
+    in_force = [
+        event.offset
+        for event in process.events.list_events_after(0)
+        if event.name == "rules.in_force"
+    ]
+    assert in_force == [1]
+
+
 async def test_job_that_finished_in_a_loaded_state_is_not_started() -> None:
     async with run_zone_scheduler(count=0) as harness:
         await harness.submit(make_job())
