Resolve the launch of another scheduler that stands in the way (zones)

Trace: z1-1 took the zone over at 15.9 s, but its record reached the log only after 21.8 s (the log lost answers and was slow). z1-0, still active by the log, accepted the job at 19.90 s and wrote a launch intent at 19.91 s; its workers, fenced by the new term, refused it. z1-1 queued the job at 20.64 s and tried to launch it 183 times until the end, 37 s later: each time the intent of z1-0 stood in the way.

Cause: intents of other schedulers were resolved once, by the recovery after a takeover; one that is read later was left standing (since the intent of another launch is not voided any more).

Change: a job whose launch is refused for such an intent is resolved as after a takeover: if all workers of the intent answer, have not restarted and report no started task, the intent is voided and the job queued; otherwise its outcome is unknown.

test_launch_of_another_scheduler_that_started_nothing_is_voided failed before (not running after 5 s).

--- a/harness/zone_mutations.py
+++ b/harness/zone_mutations.py
@@ -153,4 +153,12 @@
         "tests/test_instance_catalog.py"
         "::test_list_that_falls_behind_brings_no_leaving_worker_back",
     ),
+    Mutation(
+        "a launch of another scheduler is resolved",
+        "lagoonbeam/scheduler/decision_executor.py",
+        "        if entry is not None and entry.intent is not None:",
+        "        if False:",
+        "tests/test_zone_scheduler.py::TestLaunch"
+        "::test_launch_of_another_scheduler_that_started_nothing_is_voided",
+    ),
 ]
--- a/lagoonbeam/scheduler/decision_executor.py
+++ b/lagoonbeam/scheduler/decision_executor.py
@@ -15,6 +15,7 @@
 from lagoonbeam.scheduler.gangs import Gang
 from lagoonbeam.scheduler.job_completion import JobCompletionHandler
 from lagoonbeam.scheduler.outcome_writer import describe_job
+from lagoonbeam.scheduler.takeover_recovery import TakeoverRecovery
 from lagoonbeam.scheduler.term_state import TermState
 
 
@@ -26,6 +27,7 @@
         gang_stopper: Stops gangs.
         completion_handler: Handles gangs whose members ended during the
             launch.
+        takeover_recovery: Resolves launches of other schedulers.
     """
 
     def __init__(
@@ -33,10 +35,12 @@
         term_state: TermState,
         gang_stopper: GangStopper,
         completion_handler: JobCompletionHandler,
+        takeover_recovery: TakeoverRecovery,
     ):
         self._term_state = term_state
         self._gang_stopper = gang_stopper
         self._completion_handler = completion_handler
+        self._takeover_recovery = takeover_recovery
         self._attempt_count = 0
 
     @singledispatchmethod
@@ -114,5 +118,11 @@
                 gang.job, "cancelled by its caller", JobOutcome.CANCELLED
             )
             return
+        entry = self._term_state.log_client.state.jobs.get(gang.job.job_id)
+        if entry is not None and entry.intent is not None:
+            # A scheduler of an older term was still active meanwhile.
+            self._term_state.planner.finished(gang.job.job_id, completed=False)
+            self._takeover_recovery.resolve_intended_launch(entry)
+            return
         self._term_state.planner.requeue(gang.job.job_id)
         self._term_state.request_pass()
--- a/lagoonbeam/scheduler/zone_scheduler.py
+++ b/lagoonbeam/scheduler/zone_scheduler.py
@@ -52,12 +52,15 @@
         self._completion_handler = JobCompletionHandler(
             self._term_state, self._gang_stopper
         )
-        self._decision_executor = DecisionExecutor(
-            self._term_state, self._gang_stopper, self._completion_handler
-        )
         self._takeover_recovery = TakeoverRecovery(
             self._term_state, self._gang_stopper, self._completion_handler
         )
+        self._decision_executor = DecisionExecutor(
+            self._term_state,
+            self._gang_stopper,
+            self._completion_handler,
+            self._takeover_recovery,
+        )
         self._report_handler = WorkerReportHandler(
             self._term_state,
             self._gang_stopper,
@@ -272,11 +275,7 @@
             return
         provisional.pop(job.job_id, None)
         # The first acceptance in the log counts, also for the zone.
-        if entry.job.availability_zone != self._term_state.zone_name:
-            return
-        if entry.intent is not None and job.job_id not in self.planner.jobs:
-            self._takeover_recovery.resolve_intended_launch(entry)
-        else:
+        if entry.job.availability_zone == self._term_state.zone_name:
             self.enqueue(entry.job, provisional=False)
 
     @_handle_record.register
--- a/tests/test_zone_scheduler.py
+++ b/tests/test_zone_scheduler.py
@@ -109,6 +109,32 @@
             assert intent.attempt == "other-launch"
             assert harness.started_task_ids == []
 
+    async def test_launch_of_another_scheduler_that_started_nothing_is_voided(
+        self,
+    ) -> None:
+        """The other one was still active, and its workers refused the start."""
+        async with run_zone_scheduler(count=1) as harness:
+            worker = harness.workers["w0"]
+            worker.reject_reservations = True
+            await harness.submit(make_job("j0", members=8))
+            await harness.submit(make_job(idempotent=False, members=8))
+            await harness.log_client.append(
+                LaunchIntended(
+                    job_id="j1",
+                    attempt="other-launch",
+                    availability_zone=ZONE,
+                    term=Term(1, "z1-0"),
+                    members=(LaunchMember("w0", worker.incarnation),),
+                ),
+                timeout_s=1.0,
+            )
+            harness.zone_scheduler.cancel("j0")
+            worker.reject_reservations = False
+            await harness.wait_running(8)
+            intent = harness.log_client.state.jobs["j1"].intent
+            assert intent is not None
+            assert intent.attempt != "other-launch"
+
     async def test_second_acceptance_for_another_zone_is_not_queued(
         self,
     ) -> None:
