Count a change of the instance list from when all schedulers can have read it

Schedulers read the list every 0.5 s; the change has to be shown for 1 s now before the 3 s are counted from it.

--- a/harness/soak.py
+++ b/harness/soak.py
@@ -42,6 +42,8 @@
 REQUESTS_PER_S = 6.0
 SETTLE_TIME_S = 25.0
 """Fault-free time at the end, within which every job must have an answer."""
+LIST_READ_INTERVAL_S = 1.0
+"""Time within which every scheduler reads the instance list."""
 LEAVING_DETECTION_LIMIT_S = 3.0
 """Time within which schedulers must notice that a worker is leaving."""
 
@@ -122,7 +124,7 @@
 def find_shown_s(
     list_lags_s: list[tuple[float, float]], changed_at_s: float
 ) -> float:
-    """Returns when the instance list first showed a change, if it did.
+    """Returns when the instance list first showed a change to all readers.
 
     Args:
         list_lags_s: How far the list lagged, with the time of each change.
@@ -133,7 +135,8 @@
     return next(
         shown_s
         for (start_s, lag_s), end_s in zip(starts, ends, strict=True)
-        if (shown_s := max(start_s, changed_at_s + lag_s)) < end_s
+        if (shown_s := max(start_s, changed_at_s + lag_s))
+        <= end_s - LIST_READ_INTERVAL_S
     )
 
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -70,7 +70,14 @@
 
 @pytest.mark.parametrize(
     ("changed_at_s", "shown_s"),
-    [(30.0, 30.0), (45.0, 45.0), (49.0, 49.0), (51.0, 58.0), (59.0, 59.0)],
+    [
+        (30.0, 30.0),
+        (45.0, 45.0),
+        (49.0, 49.0),
+        (49.9, 58.0),
+        (51.0, 58.0),
+        (59.0, 59.0),
+    ],
 )
 def test_lagging_list_shows_a_change_late(
     changed_at_s: float, shown_s: float
