--- a/tests/test_site_configuration.py
+++ b/tests/test_site_configuration.py
@@ -87,6 +87,16 @@
     assert time.monotonic() - started_s <= 0.5
 
 
+def test_withdrawn_key_is_refused_by_a_restarted_instance(site: Site) -> None:
+    tenant = {**make_configuration(2)["tenants"][0], "api_keys": ["other"]}
+    site.publish_configuration(make_configuration(2, tenants=[tenant]))
+    site.kill_process("n0")
+    site.start_instance("n0")
+    site.wait_until_ready("n0")
+    assert site.call_front("GET", "/checks/").status_code == 401
+    assert site.call_front("GET", "/checks/", api_key="other").is_success
+
+
 def test_configuration_takes_effect_though_open_connections_are_silent(
     site: Site,
 ) -> None:
