--- a/tests/test_promises.py
+++ b/tests/test_promises.py
@@ -157,31 +157,20 @@
 @when("the log is truncated up to the newest snapshot")
 def truncate_log(context: ScenarioContext) -> None:
     """Makes an instance write a snapshot, then truncates the log."""
-    name = context.cluster.list_zone_instances("z1")[0]
-    context.cluster.kill_instance(name)
+    cluster = context.cluster
+    name = cluster.list_zone_instances("z1")[0]
+    cluster.kill_instance(name)
     settings = {
-        "url": f"http://127.0.0.1:{context.cluster.log_port}",
+        "url": f"http://127.0.0.1:{cluster.log_port}",
         "snapshot_entries": 1,
     }
-    context.cluster.start_instance(name, log=settings)
-    url = context.cluster.instances[name].url
-    context.cluster.wait_for_http(f"{url}/v1/ready")
-    folder = context.cluster.folder
-    context.wait_for(
-        lambda: (
-            "snapshot.taken" in (folder / f"{name}-scheduler.log").read_text()
-        ),
-        20,
-    )
-    context.cluster.set_faults(context.cluster.log_url, keep_entries=4)
-    context.cluster.publish_rules(
-        make_rules_document(
-            ZONES,
-            based_on=context.cluster.call_entry("GET", "/v1/rules").json()[
-                "version"
-            ],
-        )
-    )
+    cluster.start_instance(name, log=settings)
+    cluster.wait_for_http(f"{cluster.instances[name].url}/v1/ready")
+    log_path = cluster.folder / f"{name}-scheduler.log"
+    context.wait_for(lambda: "snapshot.taken" in log_path.read_text(), 20)
+    cluster.set_faults(cluster.log_url, keep_entries=4)
+    rules = cluster.call_entry("GET", "/v1/rules").json()
+    cluster.publish_rules(make_rules_document(ZONES, based_on=rules["version"]))
     time.sleep(2)
 
 
