Look for starts since the worker drains, not in the last second (test)

Trace: eight polls of 0.05 s after the worker began to drain, so some 0.9 s after the first two starts, the runs had moved. The check took each start of the last second on the leaving worker, which reaches back to the first two if the move takes less than half a second: the test failed because the runs moved soon.

Change: each start on that worker since it began to drain counts, however long ago.

--- a/tests/test_site_end_to_end.py
+++ b/tests/test_site_end_to_end.py
@@ -345,6 +345,7 @@
     leaving_worker = int(site.read_worker_history()[-1]["worker"][1:])
     time.sleep(0.5)
     site.control_worker(leaving_worker, "faults", draining=True)
+    draining_since_s = time.time()
     try:
         wait_until(lambda: count_starts(site, path) > 2, 4.0)
         late_starts = [
@@ -352,7 +353,7 @@
             for event in site.read_worker_history()
             if event["event"] == "started"
             and event["worker"] == f"w{leaving_worker}"
-            and event["at_s"] > time.time() - 1.0
+            and event["at_s"] > draining_since_s
         ]
         assert not late_starts
     finally:
