Log each run that is taken as ended without its worker's word

The operators' record shows two runs of a task at once, and no line that tells why the first was taken as ended: a lapse logged a worker and a number of runs, lost workers only a number, and a refused start, a restart or a confirmed stop nothing.

No decision changes. tests/site and tests/adapters pass.

--- a/lagoonbeam/site/events.py
+++ b/lagoonbeam/site/events.py
@@ -37,6 +37,8 @@
     """A stop order was not answered and will be repeated."""
     RUN_ENDED = "run.ended"
     """A worker reported the end of a run."""
+    RUN_PRESUMED_ENDED = "run.presumed_ended"
+    """A run was taken as ended that its worker has not listed; evidence."""
     RUN_PACE = "run.pace"
     """The work rate of a filler run was changed; outcome."""
     WORKER_QUARANTINED = "worker.quarantined"
@@ -45,6 +47,8 @@
     """The leases of an unreachable worker expired."""
     WORKER_RESTARTED = "worker.restarted"
     """A worker restarted under a new incarnation."""
+    WORKER_ENTRY_CHANGED = "worker.entry_changed"
+    """The worker directory shows another incarnation of a worker; outcome."""
     WORKER_GONE = "worker.gone"
     """Workers with runs are no longer in the worker directory."""
     WORKER_MALFORMED = "worker.malformed"
@@ -124,6 +128,7 @@
         Event.JOB_ACCEPTED,
         Event.JOB_CANCELLED,
         Event.JOB_ENDED,
+        Event.RUN_PRESUMED_ENDED,
         Event.SETTINGS_RELOAD,
         Event.TERM_CLAIMED,
         Event.TERM_LOST,
--- a/lagoonbeam/site/fleet.py
+++ b/lagoonbeam/site/fleet.py
@@ -167,6 +167,14 @@
             elif report.incarnation == session.report.incarnation:
                 session.update_report(report)
             else:
+                self._decisions.emit(
+                    Event.WORKER_ENTRY_CHANGED,
+                    worker=name,
+                    incarnation=report.incarnation,
+                    known=session.incarnation,
+                    address=f"{report.host}:{report.port}",
+                    outcome="session reopened",
+                )
                 # A stale entry may name an incarnation that has ended.
                 self._closed_lease_expiry_s[name] = session.lease_expires_at_s
                 session.close()
--- a/lagoonbeam/site/model.py
+++ b/lagoonbeam/site/model.py
@@ -146,6 +146,18 @@
     NEVER_STARTED = "never_started"
 
 
+class EndEvidence(enum.StrEnum):
+    """Why a run that its worker has not listed as ended certainly has ended."""
+
+    LEASES_EXPIRED = "all leases that this term granted have expired"
+    PRIOR_LEASES_EXPIRED = "no session; leases of earlier terms have expired"
+    ADDRESS_TAKEN = "another worker answers at the address"
+    RESTARTED = "a newer incarnation does not list the run"
+    STOP_CONFIRMED = "not listed after a confirmed stop"
+    START_REFUSED = "the worker refused the start"
+    NOT_SENT = "the start was not sent"
+
+
 @dataclass(frozen=True, slots=True)
 class Organisation:
     """A customer with guaranteed capacity.
--- a/lagoonbeam/site/run_dispatcher.py
+++ b/lagoonbeam/site/run_dispatcher.py
@@ -11,7 +11,7 @@
 from lagoonbeam.site.events import Event
 from lagoonbeam.site.jobs import Task
 from lagoonbeam.site.lease import Lease
-from lagoonbeam.site.model import RunEndReason
+from lagoonbeam.site.model import EndEvidence, RunEndReason
 from lagoonbeam.site.platform_interface import (
     StartOrder,
     StartRefusedError,
@@ -138,7 +138,9 @@
             end = RunEnd(
                 placement.task_id, placement.run, RunEndReason.NEVER_STARTED
             )
-            await self._scheduler.record_run_ends([end])
+            await self._scheduler.record_run_ends(
+                [end], EndEvidence.START_REFUSED
+            )
             self._scheduler.on_start_refused(self._worker, task)
         except UnavailableError as error:
             outcome = f"in doubt: {error}"
--- a/lagoonbeam/site/run_launcher.py
+++ b/lagoonbeam/site/run_launcher.py
@@ -11,7 +11,7 @@
 from lagoonbeam.site.decision_log import DecisionLog
 from lagoonbeam.site.fleet import WorkerFleet
 from lagoonbeam.site.jobs import PlacementUnit, Task
-from lagoonbeam.site.model import RunEndReason
+from lagoonbeam.site.model import EndEvidence, RunEndReason
 from lagoonbeam.site.placement import Assignment
 from lagoonbeam.site.planner_state import PlannerState
 from lagoonbeam.site.records import (
@@ -45,7 +45,9 @@
         advice: AdviceCache,
         planner_state: PlannerState,
         append_to_journal: Callable[[Sequence[Record]], Awaitable[bool]],
-        record_run_ends: Callable[[Sequence[RunEnd]], Awaitable[bool]],
+        record_run_ends: Callable[
+            [Sequence[RunEnd], EndEvidence], Awaitable[bool]
+        ],
         decisions: DecisionLog,
     ):
         self._get_state = get_state
@@ -138,7 +140,7 @@
             for each in placements
         ]
         if ends:
-            await self._record_run_ends(ends)
+            await self._record_run_ends(ends, EndEvidence.NOT_SENT)
         for placement in placements:
             self._cancel_pending_start(placement)
 
--- a/lagoonbeam/site/scheduler.py
+++ b/lagoonbeam/site/scheduler.py
@@ -19,7 +19,12 @@
 from lagoonbeam.site.journal_appender import JournalAppender
 from lagoonbeam.site.journal_follower import JournalFollower
 from lagoonbeam.site.machines import TermHolder
-from lagoonbeam.site.model import Configuration, QueuePolicy, RunEndReason
+from lagoonbeam.site.model import (
+    Configuration,
+    EndEvidence,
+    QueuePolicy,
+    RunEndReason,
+)
 from lagoonbeam.site.planner import make_plan
 from lagoonbeam.site.planner_state import PlannerState
 from lagoonbeam.site.platform_interface import JournalWriter, PlatformServices
@@ -221,9 +226,11 @@
             self._decisions.emit(Event.TERM_LOST, term=self.token, cause=cause)
         self._cancel_scope.cancel()
 
-    async def record_run_ends(self, ends: Sequence[RunEnd]) -> bool:
-        """Journals the ends of runs; returns whether they are stored."""
-        return await self._termination_recorder.record_run_ends(ends)
+    async def record_run_ends(
+        self, ends: Sequence[RunEnd], evidence: EndEvidence | None = None
+    ) -> bool:
+        """Journals ends of runs; see `SchedulerCallbacks.record_run_ends`."""
+        return await self._termination_recorder.record_run_ends(ends, evidence)
 
     def on_worker_usable(self, worker: str) -> None:
         """Requests a new plan after a worker became usable."""
--- a/lagoonbeam/site/scheduler_callbacks.py
+++ b/lagoonbeam/site/scheduler_callbacks.py
@@ -6,7 +6,7 @@
 from typing import Protocol
 
 from lagoonbeam.site.jobs import Task
-from lagoonbeam.site.model import RunEndReason
+from lagoonbeam.site.model import EndEvidence, RunEndReason
 from lagoonbeam.site.prior_leases import LeaseTermRecorder
 from lagoonbeam.site.records import RunEnd
 from lagoonbeam.site.state import SiteState
@@ -37,8 +37,16 @@
         In monotonic time.
         """
 
-    async def record_run_ends(self, ends: Sequence[RunEnd]) -> bool:
-        """Journals the ends of runs; returns whether they are stored."""
+    async def record_run_ends(
+        self, ends: Sequence[RunEnd], evidence: EndEvidence | None = None
+    ) -> bool:
+        """Journals the ends of runs; returns whether they are stored.
+
+        Args:
+            ends: The ends.
+            evidence: Why the runs have ended; None if their worker listed the
+                ends.
+        """
 
     def lose_term(self, cause: str) -> None:
         """Stops scheduling, for example because a newer term exists."""
--- a/lagoonbeam/site/session.py
+++ b/lagoonbeam/site/session.py
@@ -19,6 +19,7 @@
 from lagoonbeam.site.lease import Lease
 from lagoonbeam.site.model import (
     ActiveRun,
+    EndEvidence,
     PollReply,
     RunEndReason,
     WorkerReport,
@@ -194,7 +195,7 @@
             self._scheduler.lose_term(f"worker {self.worker} has a newer token")
             return
         except WorkerReplacedError as error:
-            await self._end_lapsed_runs()
+            await self._end_lapsed_runs(EndEvidence.ADDRESS_TAKEN)
             await self._handle_failed_poll(error)
             return
         except LagoonbeamError as error:
@@ -218,10 +219,10 @@
         if self.failed_polls == MAX_FAILED_POLLS:
             self._monitor.report_failure(error)
         if self._lease.has_expired:
-            await self._end_lapsed_runs()
+            await self._end_lapsed_runs(EndEvidence.LEASES_EXPIRED)
         await anyio.sleep(POLL_RETRY_S)
 
-    async def _end_lapsed_runs(self) -> None:
+    async def _end_lapsed_runs(self, evidence: EndEvidence) -> None:
         ends = [
             self._make_lapse(task)
             for task in self._list_placed_tasks()
@@ -231,7 +232,7 @@
             self._decisions.emit(
                 Event.WORKER_LAPSED, worker=self.worker, runs=len(ends)
             )
-            await self._scheduler.record_run_ends(ends)
+            await self._scheduler.record_run_ends(ends, evidence)
         self.running.clear()
 
     async def _adopt_incarnation(self, reply: PollReply, sent_s: float) -> None:
@@ -258,7 +259,9 @@
         self._acked_sequence = 0
         self.dispatcher.discard_stops()
         self.running = {}
-        if ends and await self._scheduler.record_run_ends(ends):
+        if ends and await self._scheduler.record_run_ends(
+            ends, EndEvidence.RESTARTED
+        ):
             for end in ends:
                 self.dispatcher.discard_run(end.task_id, end.run)
 
@@ -310,7 +313,9 @@
                     *run_key, "run not listed by the worker"
                 )
         if missing:
-            await self._scheduler.record_run_ends(missing)
+            await self._scheduler.record_run_ends(
+                missing, EndEvidence.STOP_CONFIRMED
+            )
             for end in missing:
                 self.dispatcher.discard_run(end.task_id, end.run)
                 missing_task = self._scheduler.state.tasks.get(end.task_id)
--- a/lagoonbeam/site/termination.py
+++ b/lagoonbeam/site/termination.py
@@ -9,7 +9,12 @@
 from lagoonbeam.site.decision_log import DecisionLog
 from lagoonbeam.site.events import Event
 from lagoonbeam.site.jobs import PlacementUnit, SiteJob
-from lagoonbeam.site.model import JobState, QueuePolicy, RunEndReason
+from lagoonbeam.site.model import (
+    EndEvidence,
+    JobState,
+    QueuePolicy,
+    RunEndReason,
+)
 from lagoonbeam.site.planner_state import PlannerState
 from lagoonbeam.site.records import (
     JobDropped,
@@ -51,9 +56,13 @@
         self._planner_state = planner_state
         self._decisions = decisions
 
-    async def record_run_ends(self, ends: Sequence[RunEnd]) -> bool:
-        """Journals the ends of runs; returns whether they are stored."""
+    async def record_run_ends(
+        self, ends: Sequence[RunEnd], evidence: EndEvidence | None = None
+    ) -> bool:
+        """Journals ends of runs; see `SchedulerCallbacks.record_run_ends`."""
         tasks = self._get_state().tasks
+        if evidence is not None:
+            self._log_presumed_ends(ends, evidence)
         jobs = {
             task.unit.job.request.job_id: task.unit.job
             for end in ends
@@ -138,7 +147,25 @@
         ]
         if ends:
             self._decisions.emit(Event.WORKER_GONE, runs=len(ends))
-            await self.record_run_ends(ends)
+            await self.record_run_ends(ends, EndEvidence.PRIOR_LEASES_EXPIRED)
+
+    def _log_presumed_ends(
+        self, ends: Sequence[RunEnd], evidence: EndEvidence
+    ) -> None:
+        tasks = self._get_state().tasks
+        for end in ends:
+            task = tasks.get(end.task_id)
+            placement = None if task is None else task.placement
+            self._decisions.emit(
+                Event.RUN_PRESUMED_ENDED,
+                task=end.task_id,
+                run=end.run,
+                worker=None if placement is None else placement.worker,
+                incarnation=(
+                    None if placement is None else placement.incarnation
+                ),
+                evidence=evidence.value,
+            )
 
     def _log_job_end(self, job: SiteJob, **fields: object) -> None:
         """Logs the end of a job.
--- a/tests/site/test_fleet.py
+++ b/tests/site/test_fleet.py
@@ -12,7 +12,7 @@
 from lagoonbeam.site.decision_log import DecisionLog
 from lagoonbeam.site.fleet import WorkerFleet
 from lagoonbeam.site.jobs import PlacementUnit
-from lagoonbeam.site.model import Step
+from lagoonbeam.site.model import EndEvidence, Step
 from lagoonbeam.site.placement import Assignment
 from lagoonbeam.site.planner_state import PlannerState
 from lagoonbeam.site.platform_interface import ZoneEvacuations
@@ -100,7 +100,9 @@
         self.while_journaling()
         return True
 
-    async def record_run_ends(self, ends: Sequence[RunEnd]) -> bool:
+    async def record_run_ends(
+        self, ends: Sequence[RunEnd], evidence: EndEvidence | None = None
+    ) -> bool:
         self.ends += ends
         self.state.apply(RunsEnded(tuple(ends)))
         return True
--- a/tests/site/test_session.py
+++ b/tests/site/test_session.py
@@ -11,6 +11,7 @@
 from lagoonbeam.site.decision_log import DecisionLog
 from lagoonbeam.site.model import (
     ActiveRun,
+    EndEvidence,
     FinishedRun,
     PollReply,
     RunEndReason,
@@ -100,7 +101,9 @@
             self.state.apply(record)
         return True
 
-    async def record_run_ends(self, ends: Sequence[RunEnd]) -> bool:
+    async def record_run_ends(
+        self, ends: Sequence[RunEnd], evidence: EndEvidence | None = None
+    ) -> bool:
         self.ends += ends
         self.state.apply(RunsEnded(tuple(ends)))
         return True
