--- a/lagoonbeam/site/fleet.py
+++ b/lagoonbeam/site/fleet.py
@@ -12,6 +12,7 @@
 from lagoonbeam.site.dependency import DependencyMonitor
 from lagoonbeam.site.events import Event
 from lagoonbeam.site.jobs import Task
+from lagoonbeam.site.lease import Lease
 from lagoonbeam.site.model import WorkerReport
 from lagoonbeam.site.platform_interface import (
     WorkerConnector,
@@ -76,7 +77,7 @@
         self._lease_s = lease_s
         self._decisions = decisions
         self._zone_evacuations = zone_evacuations
-        self._closed_lease_expiry_s: dict[str, float] = {}
+        self._leases: dict[str, Lease] = {}
         self._evacuated_zones: frozenset[ZoneName] = frozenset()
         self._dependency_monitor = DependencyMonitor(
             "list of workers", decisions
@@ -108,6 +109,14 @@
             not in self._list_evacuated_zones()
         )
 
+    def find_lease_expiry_s(self, worker: str) -> float:
+        """Returns when all leases that sessions granted have expired.
+
+        In monotonic time; negative infinity if no session granted any.
+        """
+        lease = self._leases.get(worker)
+        return float("-inf") if lease is None else lease.expires_at_s
+
     def has_incarnation(self, worker: str, incarnation: int) -> bool:
         """Whether this incarnation of a worker sent its newest poll reply."""
         session = self.sessions.get(worker)
@@ -176,20 +185,21 @@
                     outcome="session reopened",
                 )
                 # A stale entry may name an incarnation that has ended.
-                self._closed_lease_expiry_s[name] = session.lease_expires_at_s
                 session.close()
                 del self.sessions[name]
 
     def _open_session(self, report: WorkerReport) -> WorkerSession:
+        lease = Lease(
+            self._lease_s,
+            self._scheduler.find_prior_lease_expiry_s(report.worker),
+            self._leases.get(report.worker),
+        )
+        self._leases[report.worker] = lease
         session = WorkerSession(
             report,
             self._connector.connect(report),
             self._scheduler,
-            lease_s=self._lease_s,
-            earlier_leases_expire_at_s=max(
-                self._scheduler.find_prior_lease_expiry_s(report.worker),
-                self._closed_lease_expiry_s.pop(report.worker, float("-inf")),
-            ),
+            lease=lease,
             decisions=self._decisions,
         )
         self.sessions[report.worker] = session
@@ -200,9 +210,6 @@
             await session.run()
         except Exception as error:
             # A worker that cannot be talked to must not end the scheduler.
-            self._closed_lease_expiry_s[session.worker] = (
-                session.lease_expires_at_s
-            )
             self._decisions.emit(
                 Event.WORKER_SESSION_FAILED,
                 worker=session.worker,
--- a/lagoonbeam/site/lease.py
+++ b/lagoonbeam/site/lease.py
@@ -27,16 +27,26 @@
 
 
 class Lease:
-    """The lease shared by all runs on a worker.
+    """The lease that one session grants to all runs on a worker.
 
     Args:
         lease_s: Duration of each grant.
         earlier_leases_expire_at_s: Local monotonic time by which leases
-            granted before, in earlier terms or sessions, have expired.
+            granted in earlier terms have expired.
+        predecessor: The lease of the worker's previous session in this term.
+            An order of that session may still be on its way.
     """
 
-    def __init__(self, lease_s: float, earlier_leases_expire_at_s: float):
+    def __init__(
+        self,
+        lease_s: float,
+        earlier_leases_expire_at_s: float,
+        predecessor: Lease | None = None,
+    ):
         self._lease_s = lease_s
+        if predecessor is not None and predecessor.has_expired:
+            predecessor = None
+        self._predecessor = predecessor
         self._expires_at_s = earlier_leases_expire_at_s
         self._worker_clock_ms = 0
         self._clock_read_at_s = 0.0
@@ -46,12 +56,14 @@
     @property
     def expires_at_s(self) -> float:
         """Local monotonic time by which all grants have expired."""
-        return self._expires_at_s
+        if self._predecessor is None:
+            return self._expires_at_s
+        return max(self._expires_at_s, self._predecessor.expires_at_s)
 
     @property
     def has_expired(self) -> bool:
         """Whether all grants have certainly expired."""
-        return time.monotonic() > self._expires_at_s
+        return time.monotonic() > self.expires_at_s
 
     def record_clock(self, worker_clock_ms: int) -> None:
         """Records a reading of the worker's clock, taken just now.
--- a/lagoonbeam/site/model.py
+++ b/lagoonbeam/site/model.py
@@ -149,8 +149,8 @@
 class EndEvidence(enum.StrEnum):
     """Why a run that its worker has not listed as ended certainly has ended."""
 
-    LEASES_EXPIRED = "all leases that this term granted have expired"
-    PRIOR_LEASES_EXPIRED = "no session; leases of earlier terms have expired"
+    LEASES_EXPIRED = "all leases have expired"
+    NO_SESSION = "no session, and all leases have expired"
     ADDRESS_TAKEN = "another worker answers at the address"
     RESTARTED = "a newer incarnation does not list the run"
     STOP_CONFIRMED = "not listed after a confirmed stop"
--- a/lagoonbeam/site/scheduler.py
+++ b/lagoonbeam/site/scheduler.py
@@ -193,6 +193,13 @@
             self._time_limits.lease_s,
         )
 
+    def _find_lease_expiry_s(self, worker: str) -> float:
+        """Returns when all leases on a worker, of any term, have expired."""
+        return max(
+            self.find_prior_lease_expiry_s(worker),
+            self._fleet.find_lease_expiry_s(worker),
+        )
+
     async def run(self) -> None:
         """Schedules until the term is lost or `resign` is called."""
         async with anyio.create_task_group() as task_group:
@@ -333,7 +340,7 @@
                 await self._plan_requested.wait()
             self._plan_requested = anyio.Event()
             await self._termination_recorder.end_runs_on_lost_workers(
-                self._fleet.sessions, self.find_prior_lease_expiry_s
+                self._fleet.sessions, self._find_lease_expiry_s
             )
             await self._termination_recorder.end_failed_and_expired_jobs()
             for worker, task in self._fleet.find_tasks_outlasting_drain():
--- a/lagoonbeam/site/session.py
+++ b/lagoonbeam/site/session.py
@@ -66,8 +66,7 @@
         client: WorkerClient,
         scheduler: SchedulerCallbacks,
         *,
-        lease_s: float,
-        earlier_leases_expire_at_s: float,
+        lease: Lease,
         decisions: DecisionLog,
     ):
         self.report = report
@@ -80,7 +79,7 @@
         self._scheduler = scheduler
         self._decisions = decisions
         self._monitor = DependencyMonitor(f"worker {report.worker}", decisions)
-        self._lease = Lease(lease_s, earlier_leases_expire_at_s)
+        self._lease = lease
         self.dispatcher = RunDispatcher(
             report.worker, client, self._lease, scheduler, decisions
         )
@@ -96,11 +95,6 @@
         """The worker's name."""
         return self.report.worker
 
-    @property
-    def lease_expires_at_s(self) -> float:
-        """Monotonic time by which the leases on the worker have expired."""
-        return self._lease.expires_at_s
-
     @property
     def is_usable(self) -> bool:
         """Whether new runs may be started here."""
--- a/lagoonbeam/site/termination.py
+++ b/lagoonbeam/site/termination.py
@@ -127,14 +127,14 @@
     async def end_runs_on_lost_workers(
         self,
         workers_with_session: Iterable[str],
-        find_prior_lease_expiry_s: Callable[[str], float],
+        find_lease_expiry_s: Callable[[str], float],
     ) -> None:
         """Ends the runs placed on workers that have no session.
 
         Args:
             workers_with_session: Names of the workers that have one.
-            find_prior_lease_expiry_s: Returns when all leases of earlier
-                terms on a worker have expired, in monotonic time.
+            find_lease_expiry_s: Returns when all leases on a worker have
+                expired, in monotonic time.
         """
         known_workers = set(workers_with_session)
         ends = [
@@ -142,12 +142,12 @@
             for worker, tasks in self._get_state().tasks_by_worker.items()
             if tasks
             and worker not in known_workers
-            and time.monotonic() > find_prior_lease_expiry_s(worker)
+            and time.monotonic() > find_lease_expiry_s(worker)
             for task in tasks.values()
         ]
         if ends:
             self._decisions.emit(Event.WORKER_GONE, runs=len(ends))
-            await self.record_run_ends(ends, EndEvidence.PRIOR_LEASES_EXPIRED)
+            await self.record_run_ends(ends, EndEvidence.NO_SESSION)
 
     def _log_presumed_ends(
         self, ends: Sequence[RunEnd], evidence: EndEvidence
--- a/tests/site/test_lease.py
+++ b/tests/site/test_lease.py
@@ -103,8 +103,7 @@
             make_worker_report("w0"),
             client,
             scheduler,
-            lease_s=LEASE_S,
-            earlier_leases_expire_at_s=0.0,
+            lease=Lease(LEASE_S, 0.0),
             decisions=DecisionLog("n0", "z1", descriptor=2),
         )
         session._lease.record_clock(50_000)
--- a/tests/site/test_session.py
+++ b/tests/site/test_session.py
@@ -9,6 +9,7 @@
 import pytest
 
 from lagoonbeam.site.decision_log import DecisionLog
+from lagoonbeam.site.lease import Lease
 from lagoonbeam.site.model import (
     ActiveRun,
     EndEvidence,
@@ -132,8 +133,7 @@
             make_worker_report("w1"),
             self.client,
             scheduler,
-            lease_s=5.0,
-            earlier_leases_expire_at_s=float("inf"),
+            lease=Lease(5.0, float("inf")),
             decisions=DecisionLog("n0", "z1", descriptor=2),
         )
         self.client.on_exhausted = self.session.close
--- a/tests/site/worker_site.py
+++ b/tests/site/worker_site.py
@@ -9,6 +9,8 @@
 import anyio
 import anyio.abc
 import pytest
+from lagoonbeam_platform import workers as platform_workers
+from lagoonbeam_platform.workers import PlatformWorkerConnector
 
 from lagoonbeam.errors import UnavailableError
 from lagoonbeam.site.decision_log import DecisionLog
@@ -28,8 +30,6 @@
 )
 from lagoonbeam.site.scheduler import Scheduler
 from lagoonbeam.site.time_limits import PlatformTimeLimits
-from lagoonbeam_platform import workers as platform_workers
-from lagoonbeam_platform.workers import PlatformWorkerConnector
 from tests.site.builders import make_configuration, make_job
 from tests.site.test_journal_appender import FakeJournalStore
 from tests.site.virtual_time import run_in_virtual_time
