--- a/lagoonbeam/site/model.py
+++ b/lagoonbeam/site/model.py
@@ -151,7 +151,6 @@
 
     LEASES_EXPIRED = "all leases have expired"
     NO_SESSION = "no session, and all leases have expired"
-    ADDRESS_TAKEN = "another worker answers at the address"
     RESTARTED = "a newer incarnation does not list the run"
     STOP_CONFIRMED = "not listed after a confirmed stop"
     START_REFUSED = "the worker refused the start"
--- a/lagoonbeam/site/platform_interface.py
+++ b/lagoonbeam/site/platform_interface.py
@@ -200,7 +200,11 @@
 
 
 class WorkerReplacedError(LagoonbeamError):
-    """Another worker answers at the address: the worker has ended."""
+    """Another worker answers at the address.
+
+    The worker itself may run on: its directory entry may be out of date, or
+    may not be its own.
+    """
 
     code = "worker_replaced"
 
--- a/lagoonbeam/site/session.py
+++ b/lagoonbeam/site/session.py
@@ -24,10 +24,7 @@
     RunEndReason,
     WorkerReport,
 )
-from lagoonbeam.site.platform_interface import (
-    WorkerClient,
-    WorkerReplacedError,
-)
+from lagoonbeam.site.platform_interface import WorkerClient
 from lagoonbeam.site.records import RunEnd
 from lagoonbeam.site.run_dispatcher import RunDispatcher
 from lagoonbeam.site.run_pacer import RunPacer
@@ -188,10 +185,6 @@
         except FencedError:
             self._scheduler.lose_term(f"worker {self.worker} has a newer token")
             return
-        except WorkerReplacedError as error:
-            await self._end_lapsed_runs(EndEvidence.ADDRESS_TAKEN)
-            await self._handle_failed_poll(error)
-            return
         except LagoonbeamError as error:
             if isinstance(error, ServerUnreachableError):
                 self._lease.roll_back(savepoint, unsent_grants=int(is_renewing))
@@ -213,10 +206,10 @@
         if self.failed_polls == MAX_FAILED_POLLS:
             self._monitor.report_failure(error)
         if self._lease.has_expired:
-            await self._end_lapsed_runs(EndEvidence.LEASES_EXPIRED)
+            await self._end_lapsed_runs()
         await anyio.sleep(POLL_RETRY_S)
 
-    async def _end_lapsed_runs(self, evidence: EndEvidence) -> None:
+    async def _end_lapsed_runs(self) -> None:
         ends = [
             self._make_lapse(task)
             for task in self._list_placed_tasks()
@@ -226,7 +219,9 @@
             self._decisions.emit(
                 Event.WORKER_LAPSED, worker=self.worker, runs=len(ends)
             )
-            await self._scheduler.record_run_ends(ends, evidence)
+            await self._scheduler.record_run_ends(
+                ends, EndEvidence.LEASES_EXPIRED
+            )
         self.running.clear()
 
     async def _adopt_incarnation(self, reply: PollReply, sent_s: float) -> None:
--- a/tests/site/test_session.py
+++ b/tests/site/test_session.py
@@ -120,7 +120,12 @@
 class SessionRun:
     """A session with one worker that is to run the tasks of a job."""
 
-    def __init__(self, *replies: PollReply | Exception, tasks: int = 1):
+    def __init__(
+        self,
+        *replies: PollReply | Exception,
+        tasks: int = 1,
+        leases_expire_at_s: float = float("inf"),
+    ):
         self.scheduler = FakeScheduler()
         self.units = [
             unit
@@ -133,7 +138,7 @@
             make_worker_report("w1"),
             self.client,
             scheduler,
-            lease=Lease(5.0, float("inf")),
+            lease=Lease(5.0, leases_expire_at_s),
             decisions=DecisionLog("n0", "z1", descriptor=2),
         )
         self.client.on_exhausted = self.session.close
@@ -203,10 +208,17 @@
     assert play.session.is_usable
 
 
-async def test_runs_of_a_replaced_worker_end_without_a_wait() -> None:
-    """Work of a lost worker waited for leases that nothing could hold."""
+async def test_runs_of_a_replaced_worker_wait_for_their_leases() -> None:
+    """Work of a worker was started twice while another had its address."""
     play = SessionRun(WorkerReplacedError("421"))
     record_placement(play.scheduler.state, play.units[0], "w1")
+    assert await play.run() == []
+
+
+async def test_runs_of_a_replaced_worker_end_with_their_leases() -> None:
+    """Work of a lost worker waited for leases that nothing could hold."""
+    play = SessionRun(WorkerReplacedError("421"), leases_expire_at_s=0.0)
+    record_placement(play.scheduler.state, play.units[0], "w1")
     assert await play.run() == [("j0.0.0.0", RunEndReason.LEASE_EXPIRED)]
 
 
--- a/tests/site/worker_site.py
+++ b/tests/site/worker_site.py
@@ -107,6 +107,12 @@
         self.directory.reports[name] = report
         return worker
 
+    def list_life(self, worker: WorkerModel, number: int) -> None:
+        """Lists the present life of a worker in the directory."""
+        self.directory.reports[worker.name] = make_report(
+            worker.name, number, worker.life.born
+        )
+
     def add_fault(self, number: int, route: str = "", **fields: Any) -> Fault:
         """Injects a fault into calls to the address of a number."""
         address = get_address(make_report("", number))
