Add worker models in virtual time, and tests of lapsed runs on them

A run that answers goes on, and a silent worker's run ends after its lease, at clock rates of 0.98, 1 and 1.02.

--- /dev/null
+++ b/tests/site/test_presumed_ends.py
@@ -0,0 +1,45 @@
+"""Runs whose end is recorded without the word of their worker."""
+
+from __future__ import annotations
+
+import anyio
+import pytest
+
+from tests.site.worker_site import (
+    FIRST_RUN,
+    SECOND_RUN,
+    WorkerSite,
+    play,
+)
+
+
+def test_run_goes_on_while_its_worker_answers(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def scenario(site: WorkerSite) -> None:
+        worker = await site.run_on_first_worker(clock_rate=0.98)
+        site.add_worker("w2", 2)
+        await anyio.sleep(60.0)
+        assert worker.is_running(FIRST_RUN)
+        worker.finish(FIRST_RUN)
+        await anyio.sleep(1.0)
+        assert site.scheduler.state.tasks[FIRST_RUN[0]].is_done
+
+    audit = play(monkeypatch, scenario)
+    assert audit.presumed_ends == {}
+    assert audit.violations == []
+
+
+@pytest.mark.parametrize("clock_rate", [0.98, 1.0, 1.02])
+def test_run_on_a_silent_worker_lapses_before_its_end_is_recorded(
+    monkeypatch: pytest.MonkeyPatch, clock_rate: float
+) -> None:
+    async def scenario(site: WorkerSite) -> None:
+        await site.run_on_first_worker(clock_rate=clock_rate)
+        second = site.add_worker("w2", 2)
+        site.add_fault(1)
+        await site.wait_for_begin(second, SECOND_RUN)
+
+    audit = play(monkeypatch, scenario)
+    assert FIRST_RUN in audit.presumed_ends
+    assert audit.violations == []
--- /dev/null
+++ b/tests/site/worker_site.py
@@ -0,0 +1,196 @@
+"""A scheduler of the product with modelled workers, in virtual time."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
+from typing import Any
+
+import anyio
+import anyio.abc
+import pytest
+
+from lagoonbeam.errors import UnavailableError
+from lagoonbeam.site.decision_log import DecisionLog
+from lagoonbeam.site.journal_appender import claim_term
+from lagoonbeam.site.journal_follower import JournalFollower
+from lagoonbeam.site.model import Step, WorkerReport
+from lagoonbeam.site.platform_interface import (
+    PlatformServices,
+    WorkerDirectory,
+)
+from lagoonbeam.site.policies import make_policies
+from lagoonbeam.site.records import (
+    JobAccepted,
+    RunsEnded,
+    decode_record,
+    encode_record,
+)
+from lagoonbeam.site.scheduler import Scheduler
+from lagoonbeam.site.time_limits import PlatformTimeLimits
+from lagoonbeam_platform import workers as platform_workers
+from lagoonbeam_platform.workers import PlatformWorkerConnector
+from tests.site.builders import make_configuration, make_job
+from tests.site.test_journal_appender import FakeJournalStore
+from tests.site.virtual_time import run_in_virtual_time
+from tests.site.worker_model import (
+    MAX_HOLD_MS,
+    Fault,
+    RunAudit,
+    RunKey,
+    WorkerModel,
+    WorkerNetwork,
+    get_address,
+    make_report,
+)
+
+JOB_ID = "a" * 16
+FIRST_RUN: RunKey = (f"{JOB_ID}.0.0.0", 1)
+SECOND_RUN: RunKey = (f"{JOB_ID}.0.0.0", 2)
+OLD_TERM_S = 25.0
+"""Age of a term at which no lease of an earlier one can exist."""
+
+
+class AuditedJournal(FakeJournalStore):
+    """A journal in memory; each end of a run is audited when stored."""
+
+    def __init__(self, audit: RunAudit):
+        super().__init__()
+        self._audit = audit
+
+    def _append(self, records: Any, *args: Any) -> int:
+        known = len(self.records)
+        first_offset = super()._append(records, *args)
+        if len(self.records) > known:
+            ends = [
+                end
+                for data in records
+                if isinstance(record := decode_record(data), RunsEnded)
+                for end in record.ends
+            ]
+            for end in ends:
+                self._audit.check_end((end.task_id, end.run), end.end)
+        return first_offset
+
+
+class ModelDirectory(WorkerDirectory):
+    """A directory of workers in memory."""
+
+    def __init__(self) -> None:
+        self.reports: dict[str, WorkerReport] = {}
+        self.is_available = True
+
+    async def list_workers(self) -> dict[str, WorkerReport]:
+        await anyio.sleep(0.002)
+        if not self.is_available:
+            raise UnavailableError("the store does not answer")
+        return dict(self.reports)
+
+
+class WorkerSite:
+    """Workers w1 and w2, and the instance whose scheduler is active."""
+
+    def __init__(self, tasks: anyio.abc.TaskGroup):
+        self.tasks = tasks
+        self.audit = RunAudit()
+        self.network = WorkerNetwork(tasks)
+        self.directory = ModelDirectory()
+        self.store = AuditedJournal(self.audit)
+        self.decisions = DecisionLog("n0", "z1", descriptor=2)
+        self.scheduler: Scheduler
+
+    def add_worker(self, name: str, number: int, **fields: Any) -> WorkerModel:
+        """Adds a worker to the site and to the directory."""
+        worker = WorkerModel(name, self.audit, **fields)
+        report = make_report(name, number)
+        self.network.workers[get_address(report)] = worker
+        self.directory.reports[name] = report
+        return worker
+
+    def add_fault(self, number: int, route: str = "", **fields: Any) -> Fault:
+        """Injects a fault into calls to the address of a number."""
+        address = get_address(make_report("", number))
+        fault = Fault(address, route, **fields)
+        self.network.faults.append(fault)
+        return fault
+
+    async def start_scheduler(self, instance: str = "n0") -> Scheduler:
+        """Claims the next term for an instance and runs its scheduler."""
+        follower = JournalFollower(self.store, self.decisions)
+        self.tasks.start_soon(follower.run)
+        assert await follower.catch_up(5.0)
+        claimed = await claim_term(
+            self.store,
+            follower,
+            writer_name="scheduler",
+            instance=instance,
+            incarnation=f"{instance}-1",
+        )
+        assert claimed is not None
+        writer, sequence = claimed
+        follower.is_active_scheduler = True
+        unused: Any = None
+        self.scheduler = Scheduler(
+            platform_services=PlatformServices(
+                self.store, unused, self.directory, PlatformWorkerConnector()
+            ),
+            follower=follower,
+            instance=instance,
+            writer=writer,
+            sequence=sequence,
+            get_configuration=make_configuration,
+            time_limits=PlatformTimeLimits(MAX_HOLD_MS / 1000, 600.0, 5.0),
+            policies=make_policies(),
+            decisions=self.decisions,
+        )
+        self.tasks.start_soon(self.scheduler.run)
+        return self.scheduler
+
+    def accept_job(self) -> None:
+        """Stores a job of one task, as the interface for callers does."""
+        step = Step(accelerators=1, estimated_s=60.0)
+        record = JobAccepted(make_job(JOB_ID, step))
+        self.store.records.append(encode_record(record))
+
+    async def wait_for_begin(self, worker: WorkerModel, key: RunKey) -> None:
+        """Waits until a worker has begun a run."""
+        with anyio.fail_after(60.0):
+            while key not in worker.begun:
+                await anyio.sleep(0.01)
+
+    async def run_on_first_worker(self, **fields: Any) -> WorkerModel:
+        """Starts a run on w1, in a term without leases of earlier ones."""
+        worker = self.add_worker("w1", 1, **fields)
+        await self.start_scheduler()
+        await anyio.sleep(OLD_TERM_S)
+        self.accept_job()
+        await self.wait_for_begin(worker, FIRST_RUN)
+        await anyio.sleep(2.0)
+        assert worker.is_running(FIRST_RUN)
+        return worker
+
+
+@asynccontextmanager
+async def open_site() -> AsyncIterator[WorkerSite]:
+    async with anyio.create_task_group() as tasks:
+        yield WorkerSite(tasks)
+        tasks.cancel_scope.cancel()
+
+
+SiteScenario = Callable[[WorkerSite], Awaitable[None]]
+
+
+def play(monkeypatch: pytest.MonkeyPatch, scenario: SiteScenario) -> RunAudit:
+    """Plays a scenario in virtual time and returns what was audited."""
+    audits: list[RunAudit] = []
+
+    async def main() -> None:
+        async with open_site() as site:
+            audits.append(site.audit)
+            monkeypatch.setattr(
+                platform_workers, "HttpClient", site.network.make_client
+            )
+            await scenario(site)
+
+    run_in_virtual_time(monkeypatch, main)
+    return audits[0]
