Test that a foreign entry with another worker's address ends no run

Fails: the session of the new entry gets 421 from the other worker and ends all runs at once, while the true worker runs them under a lease of the closed session. Their tasks start on a second worker.

--- a/tests/site/test_presumed_ends_replaced_entry.py
+++ b/tests/site/test_presumed_ends_replaced_entry.py
@@ -53,3 +53,11 @@
 ) -> None:
     scenario = show_entry_for(3, 1, 5.0)
     assert play(monkeypatch, scenario).violations == []
+
+
+@pytest.mark.parametrize("duration_s", [0.5, 2.0, 20.0])
+def test_foreign_entry_with_the_address_of_another_worker_ends_no_run(
+    monkeypatch: pytest.MonkeyPatch, duration_s: float
+) -> None:
+    scenario = show_entry_for(3, 77, duration_s)
+    assert play(monkeypatch, scenario).violations == []
