--- /dev/null
+++ b/tests/site/test_presumed_ends_misdirected.py
@@ -0,0 +1,77 @@
+"""Runs of a worker at whose address another one answers for a time."""
+
+from __future__ import annotations
+
+import anyio
+import pytest
+
+from tests.site.worker_site import (
+    FIRST_RUN,
+    OLD_TERM_S,
+    SECOND_RUN,
+    WorkerSite,
+    play,
+)
+
+
+async def start_late(site: WorkerSite, delay_s: float) -> None:
+    """Sends a start to w1 that loses its answer and is carried out late."""
+    await site.start_scheduler()
+    await anyio.sleep(OLD_TERM_S)
+    site.add_fault(1, "run-start", delay_s=delay_s, count=1)
+    site.accept_job()
+    with anyio.fail_after(5.0):
+        while FIRST_RUN[0] not in site.scheduler.state.tasks or (
+            site.scheduler.state.tasks[FIRST_RUN[0]].placement is None
+        ):
+            await anyio.sleep(0.01)
+    await anyio.sleep(0.1)
+
+
+def test_start_refused_by_another_worker_never_begins(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def scenario(site: WorkerSite) -> None:
+        site.add_worker("w1", 1)
+        await site.start_scheduler()
+        await anyio.sleep(OLD_TERM_S)
+        site.add_fault(1, "run-start", status=421, count=1)
+        second = site.add_worker("w2", 2)
+        site.accept_job()
+        await anyio.sleep(10.0)
+        assert second.begun or site.audit.workers[0].begun
+
+    audit = play(monkeypatch, scenario)
+    assert FIRST_RUN in audit.presumed_ends
+    assert audit.violations == []
+
+
+def test_late_start_does_not_begin_after_a_confirmed_stop(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def scenario(site: WorkerSite) -> None:
+        site.add_worker("w1", 1)
+        await start_late(site, 4.0)
+        second = site.add_worker("w2", 2)
+        await anyio.sleep(10.0)
+        assert SECOND_RUN in second.begun + site.audit.workers[0].begun
+
+    audit = play(monkeypatch, scenario)
+    assert FIRST_RUN in audit.presumed_ends
+    assert audit.violations == []
+
+
+def test_late_start_does_not_begin_after_a_stop_of_a_replaced_session(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def scenario(site: WorkerSite) -> None:
+        worker = site.add_worker("w1", 1)
+        await start_late(site, 4.0)
+        site.add_worker("w2", 2)
+        worker.restart()
+        site.list_life(worker, 1)
+        await anyio.sleep(10.0)
+
+    audit = play(monkeypatch, scenario)
+    assert FIRST_RUN in audit.presumed_ends
+    assert audit.violations == []
--- a/tests/site/worker_model.py
+++ b/tests/site/worker_model.py
@@ -223,6 +223,7 @@
         address: Address of the calls.
         route: Their route; empty for all.
         error: Raised in place of sending the call.
+        status: Answered in place of the worker; 0 if the worker answers.
         delay_s: Time after which the call is carried out; None for never.
         keeps_answer: Whether its answer arrives, after `answer_delay_s`.
         answer_delay_s: Time by which the answer is delayed.
@@ -232,6 +233,7 @@
     address: Address
     route: str = ""
     error: Exception | None = None
+    status: int = 0
     delay_s: float | None = None
     keeps_answer: bool = False
     answer_delay_s: float = 0.0
@@ -306,6 +308,8 @@
             return await self._network.call(*call)
         if fault.error is not None:
             raise fault.error
+        if fault.status:
+            return Response(fault.status)
         if fault.keeps_answer:
             response = await self._network.call(*call)
             await anyio.sleep(fault.answer_delay_s)
--- a/tests/site/worker_site.py
+++ b/tests/site/worker_site.py
@@ -9,6 +9,8 @@
 import anyio
 import anyio.abc
 import pytest
+from lagoonbeam_platform import workers as platform_workers
+from lagoonbeam_platform.workers import PlatformWorkerConnector
 
 from lagoonbeam.errors import UnavailableError
 from lagoonbeam.site.decision_log import DecisionLog
@@ -28,8 +30,6 @@
 )
 from lagoonbeam.site.scheduler import Scheduler
 from lagoonbeam.site.time_limits import PlatformTimeLimits
-from lagoonbeam_platform import workers as platform_workers
-from lagoonbeam_platform.workers import PlatformWorkerConnector
 from tests.site.builders import make_configuration, make_job
 from tests.site.test_journal_appender import FakeJournalStore
 from tests.site.virtual_time import run_in_virtual_time
@@ -107,6 +107,12 @@
         self.directory.reports[name] = report
         return worker
 
+    def list_life(self, worker: WorkerModel, number: int) -> None:
+        """Lists the present life of a worker in the directory."""
+        self.directory.reports[worker.name] = make_report(
+            worker.name, number, worker.life.born
+        )
+
     def add_fault(self, number: int, route: str = "", **fields: Any) -> Fault:
         """Injects a fault into calls to the address of a number."""
         address = get_address(make_report("", number))
