Test that answers of another worker neither end nor stop a run

Fail: a poll answered 421 ends all runs of the worker at once, whatever lease it holds. A stop answered 421 counts as carried out, so that the run is recorded as never started and begins later by its late start.

--- a/tests/site/test_presumed_ends_misdirected.py
+++ b/tests/site/test_presumed_ends_misdirected.py
@@ -75,3 +75,32 @@
     audit = play(monkeypatch, scenario)
     assert FIRST_RUN in audit.presumed_ends
     assert audit.violations == []
+
+
+def test_stop_answered_by_another_worker_is_not_confirmed(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def scenario(site: WorkerSite) -> None:
+        site.add_worker("w1", 1)
+        await start_late(site, 4.0)
+        site.add_worker("w2", 2)
+        site.add_fault(1, "run-stop", status=421, count=1)
+        await anyio.sleep(10.0)
+
+    assert play(monkeypatch, scenario).violations == []
+
+
+@pytest.mark.parametrize("count", [1, 20])
+def test_poll_answered_by_another_worker_ends_no_run_under_a_lease(
+    monkeypatch: pytest.MonkeyPatch, count: int
+) -> None:
+    async def scenario(site: WorkerSite) -> None:
+        worker = await site.run_on_first_worker(clock_rate=0.98)
+        site.add_worker("w2", 2)
+        await anyio.sleep(1.0)
+        site.add_fault(1, "hold", status=421, count=count)
+        await anyio.sleep(8.0)
+        worker.finish(FIRST_RUN)
+        await anyio.sleep(2.0)
+
+    assert play(monkeypatch, scenario).violations == []
