--- a/tests/site/test_presumed_ends_misdirected.py
+++ b/tests/site/test_presumed_ends_misdirected.py
@@ -15,16 +15,10 @@
 
 
 async def start_late(site: WorkerSite, delay_s: float) -> None:
-    """Sends a start to w1 that loses its answer and is carried out late."""
+    """Starts a run on w1 whose start is carried out late."""
     await site.start_scheduler()
     await anyio.sleep(OLD_TERM_S)
-    site.add_fault(1, "run-start", delay_s=delay_s, count=1)
-    site.accept_job()
-    with anyio.fail_after(5.0):
-        while FIRST_RUN[0] not in site.scheduler.state.tasks or (
-            site.scheduler.state.tasks[FIRST_RUN[0]].placement is None
-        ):
-            await anyio.sleep(0.01)
+    await site.send_late_start(delay_s)
     await anyio.sleep(0.1)
 
 
--- a/tests/site/worker_model.py
+++ b/tests/site/worker_model.py
@@ -251,6 +251,7 @@
         self._tasks = tasks
         self.workers: dict[Address, WorkerModel] = {}
         self.faults: list[Fault] = []
+        self.late_calls = 0
 
     def make_client(self, host: str, port: int) -> ModelHttpClient:
         return ModelHttpClient(self, (host, port))
@@ -276,6 +277,7 @@
         return await worker.handle(route, fields)
 
     def call_late(self, delay_s: float, *call: Any) -> None:
+        self.late_calls += 1
         self._tasks.start_soon(self._call_late, delay_s, *call)
 
     async def _call_late(self, delay_s: float, *call: Any) -> None:
--- a/tests/site/worker_site.py
+++ b/tests/site/worker_site.py
@@ -12,13 +12,16 @@
 from lagoonbeam_platform import workers as platform_workers
 from lagoonbeam_platform.workers import PlatformWorkerConnector
 
-from lagoonbeam.errors import UnavailableError
+from lagoonbeam.errors import ResponseLostError, UnavailableError
 from lagoonbeam.site.decision_log import DecisionLog
 from lagoonbeam.site.journal_appender import claim_term
 from lagoonbeam.site.journal_follower import JournalFollower
 from lagoonbeam.site.model import Step, WorkerReport
 from lagoonbeam.site.platform_interface import (
+    JournalPage,
+    JournalStore,
     PlatformServices,
+    Snapshot,
     WorkerDirectory,
 )
 from lagoonbeam.site.policies import make_policies
@@ -73,6 +76,41 @@
         return first_offset
 
 
+class InstanceJournal(JournalStore):
+    """An instance's access to the journal, with injectable faults.
+
+    Attributes:
+        answer_delay_s: Time by which answers to appends are delayed.
+        is_cut: Whether reads and appends get no answer and have no effect.
+    """
+
+    def __init__(self, journal: AuditedJournal):
+        self._journal = journal
+        self.answer_delay_s = 0.0
+        self.is_cut = False
+
+    async def append(self, records: Any, **fields: Any) -> int:
+        if self.is_cut:
+            await anyio.sleep(fields["timeout_s"])
+            raise ResponseLostError("cut")
+        offset = await self._journal.append(records, **fields)
+        await anyio.sleep(self.answer_delay_s)
+        return offset
+
+    async def read(self, first_offset: int, *, wait_s: float) -> JournalPage:
+        page = await self._journal.read(first_offset, wait_s=wait_s)
+        if self.is_cut:
+            await anyio.sleep(1.0)
+            raise ResponseLostError("cut")
+        return page
+
+    async def load_snapshot(self) -> Snapshot | None:
+        return await self._journal.load_snapshot()
+
+    async def save_snapshot(self, snapshot: Snapshot) -> None:
+        await self._journal.save_snapshot(snapshot)
+
+
 class ModelDirectory(WorkerDirectory):
     """A directory of workers in memory."""
 
@@ -96,6 +134,7 @@
         self.network = WorkerNetwork(tasks)
         self.directory = ModelDirectory()
         self.store = AuditedJournal(self.audit)
+        self.stores: dict[str, InstanceJournal] = {}
         self.decisions = DecisionLog("n0", "z1", descriptor=2)
         self.scheduler: Scheduler
 
@@ -122,11 +161,12 @@
 
     async def start_scheduler(self, instance: str = "n0") -> Scheduler:
         """Claims the next term for an instance and runs its scheduler."""
-        follower = JournalFollower(self.store, self.decisions)
+        store = self.stores[instance] = InstanceJournal(self.store)
+        follower = JournalFollower(store, self.decisions)
         self.tasks.start_soon(follower.run)
         assert await follower.catch_up(5.0)
         claimed = await claim_term(
-            self.store,
+            store,
             follower,
             writer_name="scheduler",
             instance=instance,
@@ -138,7 +178,7 @@
         unused: Any = None
         self.scheduler = Scheduler(
             platform_services=PlatformServices(
-                self.store, unused, self.directory, PlatformWorkerConnector()
+                store, unused, self.directory, PlatformWorkerConnector()
             ),
             follower=follower,
             instance=instance,
@@ -158,6 +198,19 @@
         record = JobAccepted(make_job(JOB_ID, step))
         self.store.records.append(encode_record(record))
 
+    async def send_late_start(self, delay_s: float) -> None:
+        """Lets a start to w1 lose its answer and be carried out late."""
+        self.add_fault(1, "run-start", delay_s=delay_s, count=1)
+        self.accept_job()
+        with anyio.fail_after(5.0):
+            while not self.has_sent_start:
+                await anyio.sleep(0.01)
+
+    @property
+    def has_sent_start(self) -> bool:
+        task = self.scheduler.state.tasks.get(FIRST_RUN[0])
+        return task is not None and task.placement is not None
+
     async def wait_for_begin(self, worker: WorkerModel, key: RunKey) -> None:
         """Waits until a worker has begun a run."""
         with anyio.fail_after(60.0):
