--- /dev/null
+++ b/tests/site/test_presumed_ends_replaced_session.py
@@ -0,0 +1,51 @@
+"""Starts that are journaled while the session of their worker changes."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+import anyio
+import pytest
+
+from tests.site.worker_model import WorkerModel
+from tests.site.worker_site import (
+    FIRST_RUN,
+    OLD_TERM_S,
+    SECOND_RUN,
+    WorkerSite,
+    play,
+)
+
+
+async def begin_slow_append(site: WorkerSite) -> WorkerModel:
+    """Begins to journal a placement on w1, which takes 1.5 s."""
+    worker = site.add_worker("w1", 1, clock_rate=0.98)
+    await site.start_scheduler()
+    await anyio.sleep(OLD_TERM_S)
+    site.stores["n0"].answer_delay_s = 1.5
+    await anyio.sleep(3.0)
+    site.accept_job()
+    with anyio.fail_after(10.0):
+        while not site.has_sent_start:
+            await anyio.sleep(0.01)
+    assert not worker.begun
+    return worker
+
+
+def test_late_start_of_a_replaced_session_lapses_before_its_end(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def scenario(site: WorkerSite) -> None:
+        worker = site.add_worker("w1", 1, clock_rate=0.98)
+        await site.start_scheduler()
+        await anyio.sleep(OLD_TERM_S)
+        site.add_fault(1, "run-stop")
+        await site.send_late_start(3.0)
+        site.add_fault(1, "hold")
+        entry = site.directory.reports["w1"]
+        site.directory.reports["w1"] = replace(entry, port=9, incarnation=77)
+        second = site.add_worker("w2", 2)
+        await site.wait_for_begin(second, SECOND_RUN)
+        assert worker.begun == [FIRST_RUN]
+
+    assert play(monkeypatch, scenario).violations == []
