Test starts that are journaled while their worker's session changes

Fail: a run whose placement is being journaled is ended with its worker's failed session, and started all the same. A start that a session sends before its first poll has a guessed deadline, and the first reading of the worker's clock then shortens the expiry to one lease from there.

--- a/tests/site/test_presumed_ends_replaced_session.py
+++ b/tests/site/test_presumed_ends_replaced_session.py
@@ -32,6 +32,51 @@
     return worker
 
 
+def test_start_being_journaled_is_not_ended_with_its_workers_session(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def scenario(site: WorkerSite) -> None:
+        worker = await begin_slow_append(site)
+        site.add_fault(1, "hold", error=ValueError("unexpected"), count=1)
+        held = site.add_fault(1, "hold")
+        site.add_worker("w2", 2)
+        await site.wait_for_begin(worker, FIRST_RUN)
+        site.network.faults.remove(held)
+        await anyio.sleep(5.0)
+
+    assert play(monkeypatch, scenario).violations == []
+
+
+@pytest.mark.parametrize("flap_s", [0.0, 0.5])
+def test_start_before_the_first_poll_of_a_session_extends_its_lease(
+    monkeypatch: pytest.MonkeyPatch, flap_s: float
+) -> None:
+    """Without a reading, the deadline is a guess of the worker's clock."""
+
+    async def scenario(site: WorkerSite) -> None:
+        worker = await begin_slow_append(site)
+        site.add_fault(1, "run-start", delay_s=4.0, count=1)
+        site.add_fault(1, "run-stop")
+        held = site.add_fault(1, "hold")
+        if flap_s:
+            entry = site.directory.reports["w1"]
+            site.directory.reports["w1"] = replace(entry, incarnation=77)
+            await anyio.sleep(flap_s)
+            site.directory.reports["w1"] = entry
+        while not site.network.late_calls:
+            await anyio.sleep(0.01)
+        site.stores["n0"].answer_delay_s = 0.0
+        second = site.add_worker("w2", 2)
+        await anyio.sleep(1.5)
+        site.network.faults.remove(held)
+        await anyio.sleep(0.5)
+        site.network.faults.append(held)
+        await site.wait_for_begin(second, SECOND_RUN)
+        assert worker.begun == [FIRST_RUN]
+
+    assert play(monkeypatch, scenario).violations == []
+
+
 def test_late_start_of_a_replaced_session_lapses_before_its_end(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
