--- /dev/null
+++ b/tests/site/test_presumed_ends_earlier_term.py
@@ -0,0 +1,63 @@
+"""Runs of an earlier term on a worker that the new term cannot reach."""
+
+from __future__ import annotations
+
+import anyio
+import pytest
+
+from lagoonbeam.site.records import JobCancelled, encode_record
+from tests.site.worker_site import (
+    FIRST_RUN,
+    SECOND_RUN,
+    ModelDirectory,
+    WorkerSite,
+    play,
+)
+
+
+async def claim_without_first_worker(site: WorkerSite) -> None:
+    """Lets n1 claim a term in which w1 is missing in the directory."""
+    directory = ModelDirectory()
+    second = site.add_worker("w2", 2)
+    directory.reports["w2"] = site.directory.reports.pop("w2")
+    await site.start_scheduler("n1", directory)
+    await site.wait_for_begin(second, SECOND_RUN)
+
+
+@pytest.mark.parametrize("clock_rate", [0.98, 1.0])
+def test_run_renewed_by_a_cut_off_term_lapses_before_its_end(
+    monkeypatch: pytest.MonkeyPatch, clock_rate: float
+) -> None:
+    async def scenario(site: WorkerSite) -> None:
+        await site.run_on_first_worker(clock_rate=clock_rate)
+        site.stores["n0"].lost_calls = {"append", "read"}
+        await claim_without_first_worker(site)
+
+    audit = play(monkeypatch, scenario)
+    assert FIRST_RUN in audit.presumed_ends
+    assert audit.violations == []
+
+
+def test_start_after_a_late_read_of_the_journal_lapses_before_its_end(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The read that ends the wait for the placement also shows the claim."""
+
+    async def scenario(site: WorkerSite) -> None:
+        record = encode_record(JobCancelled("f" * 16))
+
+        def lose_reads() -> None:
+            site.store.before_placement = lambda: None
+            site.store.records.append(record)
+            site.stores["n0"].lost_calls = {"append", "read"}
+
+        site.store.before_placement = lose_reads
+        worker = await site.begin_slow_append(0.0)
+        site.tasks.start_soon(claim_without_first_worker, site)
+        await anyio.sleep(8.0)
+        assert not worker.begun
+        site.stores["n0"].lost_calls = {"append"}
+        await anyio.sleep(30.0)
+        assert FIRST_RUN in site.audit.presumed_ends
+
+    assert play(monkeypatch, scenario).violations == []
