Test that late starts of a cut off term lapse before the next ends them

Fails where the append is confirmed after 9.5 s, passes after 2 s: later terms rely on no lease being granted 8 s after the last confirmed append. Starts grant one without that check.

--- a/tests/site/test_presumed_ends_earlier_term.py
+++ b/tests/site/test_presumed_ends_earlier_term.py
@@ -38,6 +38,23 @@
     assert audit.violations == []
 
 
+@pytest.mark.parametrize("answer_delay_s", [2.0, 9.5])
+def test_start_after_a_late_confirmation_lapses_before_its_end(
+    monkeypatch: pytest.MonkeyPatch, answer_delay_s: float
+) -> None:
+    """A frozen instance finds the confirmation when it wakes."""
+
+    async def scenario(site: WorkerSite) -> None:
+        worker = await site.begin_slow_append(answer_delay_s)
+        site.stores["n0"].lost_calls = {"append", "read"}
+        await claim_without_first_worker(site)
+        assert worker.begun == [FIRST_RUN]
+
+    audit = play(monkeypatch, scenario)
+    assert FIRST_RUN in audit.presumed_ends
+    assert audit.violations == []
+
+
 def test_start_after_a_late_read_of_the_journal_lapses_before_its_end(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
