Test that a session opened meanwhile ends no run being journaled

Fails where the entry of the worker flaps: the mark of a start that is being journaled is kept by the closed session. The new one ends the run at its first failed poll; the record waits behind the placement, and the start leaves in between. Passes where the entry is absent for 3 s first.

--- a/tests/site/test_presumed_ends_replaced_session.py
+++ b/tests/site/test_presumed_ends_replaced_session.py
@@ -78,3 +78,25 @@
         assert worker.begun == [FIRST_RUN]
 
     assert play(monkeypatch, scenario).violations == []
+
+
+@pytest.mark.parametrize("absent_s", [0.0, 3.0])
+def test_start_being_journaled_is_not_ended_by_a_session_opened_meanwhile(
+    monkeypatch: pytest.MonkeyPatch, absent_s: float
+) -> None:
+    async def scenario(site: WorkerSite) -> None:
+        worker = await site.begin_slow_append(6.0)
+        entry = site.directory.reports["w1"]
+        if absent_s:
+            del site.directory.reports["w1"]
+            await anyio.sleep(absent_s)
+        held = site.add_fault(1, "hold")
+        site.directory.reports["w1"] = replace(entry, incarnation=77)
+        await anyio.sleep(0.5)
+        site.directory.reports["w1"] = entry
+        site.add_worker("w2", 2)
+        await site.wait_for_begin(worker, FIRST_RUN)
+        site.network.faults.remove(held)
+        await anyio.sleep(8.0)
+
+    assert play(monkeypatch, scenario).violations == []
