--- a/tests/site/worker_model.py
+++ b/tests/site/worker_model.py
@@ -12,6 +12,7 @@
 from typing import Any
 
 import anyio
+import anyio.lowlevel
 
 from lagoonbeam.core.http_client import Response
 from lagoonbeam.errors import ResponseLostError, ServerUnreachableError
@@ -251,6 +252,7 @@
         self._tasks = tasks
         self.workers: dict[Address, WorkerModel] = {}
         self.faults: list[Fault] = []
+        self.late_calls = 0
 
     def make_client(self, host: str, port: int) -> ModelHttpClient:
         return ModelHttpClient(self, (host, port))
@@ -276,6 +278,7 @@
         return await worker.handle(route, fields)
 
     def call_late(self, delay_s: float, *call: Any) -> None:
+        self.late_calls += 1
         self._tasks.start_soon(self._call_late, delay_s, *call)
 
     async def _call_late(self, delay_s: float, *call: Any) -> None:
@@ -302,10 +305,12 @@
         route = target.rpartition("/")[2]
         expected = headers["X-Lagoonbeam-Expected-Instance"]
         call = (self._address, route, json.loads(body), expected)
-        await anyio.sleep(0.001)
+        await anyio.lowlevel.checkpoint()
         fault = self._network.find_fault(self._address, route)
         if fault is None:
-            return await self._network.call(*call)
+            response = await self._network.call(*call)
+            await anyio.sleep(0.001)
+            return response
         if fault.error is not None:
             raise fault.error
         if fault.status:
--- a/tests/site/worker_site.py
+++ b/tests/site/worker_site.py
@@ -12,19 +12,23 @@
 from lagoonbeam_platform import workers as platform_workers
 from lagoonbeam_platform.workers import PlatformWorkerConnector
 
-from lagoonbeam.errors import UnavailableError
+from lagoonbeam.errors import ResponseLostError, UnavailableError
 from lagoonbeam.site.decision_log import DecisionLog
 from lagoonbeam.site.journal_appender import claim_term
 from lagoonbeam.site.journal_follower import JournalFollower
 from lagoonbeam.site.model import Step, WorkerReport
 from lagoonbeam.site.platform_interface import (
+    JournalPage,
+    JournalStore,
     PlatformServices,
+    Snapshot,
     WorkerDirectory,
 )
 from lagoonbeam.site.policies import make_policies
 from lagoonbeam.site.records import (
     JobAccepted,
     RunsEnded,
+    RunsPlaced,
     decode_record,
     encode_record,
 )
@@ -52,13 +56,20 @@
 
 
 class AuditedJournal(FakeJournalStore):
-    """A journal in memory; each end of a run is audited when stored."""
+    """A journal in memory; each end of a run is audited when stored.
+
+    Attributes:
+        before_placement: Called before a placement is stored.
+    """
 
     def __init__(self, audit: RunAudit):
         super().__init__()
         self._audit = audit
+        self.before_placement: Callable[[], None] = lambda: None
 
     def _append(self, records: Any, *args: Any) -> int:
+        if any(isinstance(decode_record(d), RunsPlaced) for d in records):
+            self.before_placement()
         known = len(self.records)
         first_offset = super()._append(records, *args)
         if len(self.records) > known:
@@ -73,6 +84,41 @@
         return first_offset
 
 
+class InstanceJournal(JournalStore):
+    """An instance's access to the journal, with injectable faults.
+
+    Attributes:
+        answer_delay_s: Time by which answers to appends are delayed.
+        lost_calls: Which calls, of `append` and `read`, get no answer.
+    """
+
+    def __init__(self, journal: AuditedJournal):
+        self._journal = journal
+        self.answer_delay_s = 0.0
+        self.lost_calls: set[str] = set()
+
+    async def append(self, records: Any, **fields: Any) -> int:
+        if "append" in self.lost_calls:
+            await anyio.sleep(fields["timeout_s"])
+            raise ResponseLostError("cut")
+        offset = await self._journal.append(records, **fields)
+        await anyio.sleep(self.answer_delay_s)
+        return offset
+
+    async def read(self, first_offset: int, *, wait_s: float) -> JournalPage:
+        page = await self._journal.read(first_offset, wait_s=wait_s)
+        if "read" in self.lost_calls:
+            await anyio.sleep(1.0)
+            raise ResponseLostError("cut")
+        return page
+
+    async def load_snapshot(self) -> Snapshot | None:
+        return await self._journal.load_snapshot()
+
+    async def save_snapshot(self, snapshot: Snapshot) -> None:
+        await self._journal.save_snapshot(snapshot)
+
+
 class ModelDirectory(WorkerDirectory):
     """A directory of workers in memory."""
 
@@ -96,6 +142,7 @@
         self.network = WorkerNetwork(tasks)
         self.directory = ModelDirectory()
         self.store = AuditedJournal(self.audit)
+        self.stores: dict[str, InstanceJournal] = {}
         self.decisions = DecisionLog("n0", "z1", descriptor=2)
         self.scheduler: Scheduler
 
@@ -120,13 +167,17 @@
         self.network.faults.append(fault)
         return fault
 
-    async def start_scheduler(self, instance: str = "n0") -> Scheduler:
+    async def start_scheduler(
+        self, instance: str = "n0", directory: ModelDirectory | None = None
+    ) -> Scheduler:
         """Claims the next term for an instance and runs its scheduler."""
-        follower = JournalFollower(self.store, self.decisions)
+        directory = directory or self.directory
+        store = self.stores[instance] = InstanceJournal(self.store)
+        follower = JournalFollower(store, self.decisions)
         self.tasks.start_soon(follower.run)
         assert await follower.catch_up(5.0)
         claimed = await claim_term(
-            self.store,
+            store,
             follower,
             writer_name="scheduler",
             instance=instance,
@@ -138,7 +189,7 @@
         unused: Any = None
         self.scheduler = Scheduler(
             platform_services=PlatformServices(
-                self.store, unused, self.directory, PlatformWorkerConnector()
+                store, unused, directory, PlatformWorkerConnector()
             ),
             follower=follower,
             instance=instance,
@@ -158,12 +209,45 @@
         record = JobAccepted(make_job(JOB_ID, step))
         self.store.records.append(encode_record(record))
 
+    async def send_late_start(self, delay_s: float) -> None:
+        """Lets a start to w1 lose its answer and be carried out late."""
+        self.add_fault(1, "run-start", delay_s=delay_s, count=1)
+        self.accept_job()
+        with anyio.fail_after(5.0):
+            while not self.has_sent_start:
+                await anyio.sleep(0.01)
+
+    @property
+    def has_sent_start(self) -> bool:
+        task = self.scheduler.state.tasks.get(FIRST_RUN[0])
+        return task is not None and task.placement is not None
+
     async def wait_for_begin(self, worker: WorkerModel, key: RunKey) -> None:
         """Waits until a worker has begun a run."""
         with anyio.fail_after(60.0):
             while key not in worker.begun:
                 await anyio.sleep(0.01)
 
+    async def begin_slow_append(self, answer_delay_s: float) -> WorkerModel:
+        """Journals a placement on w1, whose confirmation takes some time."""
+        worker = self.add_worker("w1", 1, clock_rate=0.98)
+        await self.start_scheduler()
+        await anyio.sleep(OLD_TERM_S)
+        self.stores["n0"].answer_delay_s = answer_delay_s
+        self.accept_job()
+        with anyio.fail_after(30.0):
+            while not self.is_placement_stored:
+                await anyio.sleep(0.001)
+        assert not worker.begun
+        return worker
+
+    @property
+    def is_placement_stored(self) -> bool:
+        return any(
+            isinstance(decode_record(data), RunsPlaced)
+            for data in self.store.records
+        )
+
     async def run_on_first_worker(self, **fields: Any) -> WorkerModel:
         """Starts a run on w1, in a term without leases of earlier ones."""
         worker = self.add_worker("w1", 1, **fields)
