--- a/lagoonbeam/site/fleet.py
+++ b/lagoonbeam/site/fleet.py
@@ -19,6 +19,7 @@
     WorkerDirectory,
     ZoneEvacuations,
 )
+from lagoonbeam.site.records import RunKey
 from lagoonbeam.site.scheduler_callbacks import SchedulerCallbacks
 from lagoonbeam.site.session import WorkerSession
 from lagoonbeam.types import ZoneName
@@ -51,6 +52,8 @@
         sessions: The session with each worker, by name.
         evacuations: Workers that are cordoned for evacuation, by name.
         health: Failures and quarantines of the workers.
+        pending_starts: Runs whose start is being journaled or has not been
+            answered yet; kept here, as sessions may be replaced meanwhile.
     """
 
     def __init__(
@@ -65,6 +68,7 @@
     ):
         self.sessions: dict[str, WorkerSession] = {}
         self.evacuations: set[str] = set()
+        self.pending_starts: set[RunKey] = set()
         self.health = WorkerHealthTracker(
             time.monotonic,
             failure_threshold=QUARANTINE_FAILURE_STREAK,
@@ -200,6 +204,7 @@
             self._connector.connect(report),
             self._scheduler,
             lease=lease,
+            pending_starts=self.pending_starts,
             decisions=self._decisions,
         )
         self.sessions[report.worker] = session
--- a/lagoonbeam/site/records.py
+++ b/lagoonbeam/site/records.py
@@ -192,6 +192,10 @@
     ]
 
 
+RunKey: TypeAlias = tuple[str, int]
+"""A run: the identifier of its task, and its number."""
+
+
 class RunEnd(_Record, frozen=True):
     """The end of one run.
 
--- a/lagoonbeam/site/run_dispatcher.py
+++ b/lagoonbeam/site/run_dispatcher.py
@@ -17,7 +17,7 @@
     StartRefusedError,
     WorkerClient,
 )
-from lagoonbeam.site.records import Placement, RunEnd
+from lagoonbeam.site.records import Placement, RunEnd, RunKey
 from lagoonbeam.site.scheduler_callbacks import SchedulerCallbacks
 
 STOP_RETRY_S = 1.5
@@ -37,6 +37,8 @@
         client: Sends commands to the worker.
         lease: The lease that covers all runs on the worker.
         scheduler: The active scheduler.
+        pending_starts: Runs, of all workers, whose start is being journaled or
+            has not been answered yet; shared by all sessions of the term.
         decisions: The decision log.
 
     Attributes:
@@ -49,6 +51,7 @@
         client: WorkerClient,
         lease: Lease,
         scheduler: SchedulerCallbacks,
+        pending_starts: set[RunKey],
         decisions: DecisionLog,
     ):
         self._worker = worker
@@ -57,15 +60,15 @@
         self._scheduler = scheduler
         self._decisions = decisions
         self._created_at_s = time.monotonic()
-        self._pending_starts: set[str] = set()
+        self._pending_starts = pending_starts
         self._start_confirmed_at_s: dict[str, float] = {}
-        self._stop_retry_at_s: dict[tuple[str, int], float] = {}
-        self._stop_confirmed_at_s: dict[tuple[str, int], float] = {}
+        self._stop_retry_at_s: dict[RunKey, float] = {}
+        self._stop_confirmed_at_s: dict[RunKey, float] = {}
         self.task_group: anyio.abc.TaskGroup | None = None
 
-    def is_start_pending(self, task_id: str) -> bool:
+    def is_start_pending(self, task: Task) -> bool:
         """Whether a start is being journaled or has not been answered yet."""
-        return task_id in self._pending_starts
+        return (task.task_id, task.run) in self._pending_starts
 
     def was_start_confirmed_after(self, task_id: str, time_s: float) -> bool:
         """Whether the worker confirmed a start after a monotonic time."""
@@ -83,14 +86,6 @@
             self._stop_confirmed_at_s.get((task_id, run), float("inf")) < time_s
         )
 
-    def add_pending_start(self, task_id: str) -> None:
-        """Marks a task whose placement is being journaled as starting."""
-        self._pending_starts.add(task_id)
-
-    def cancel_pending_start(self, task_id: str) -> None:
-        """Clears the mark of a task that will not be started after all."""
-        self._pending_starts.discard(task_id)
-
     def get_elapsed_s(self, task: Task) -> float:
         """Returns the time since a task's run was started.
 
@@ -145,7 +140,7 @@
         except UnavailableError as error:
             outcome = f"in doubt: {error}"
         finally:
-            self._pending_starts.discard(placement.task_id)
+            self._pending_starts.discard((placement.task_id, placement.run))
             outcome_label = outcome.partition(":")[0]
             self._decisions.metrics.starts.labels(outcome_label).inc()
             self._decisions.emit(
--- a/lagoonbeam/site/run_launcher.py
+++ b/lagoonbeam/site/run_launcher.py
@@ -76,7 +76,7 @@
             run = unit.next_run
             for task, worker in assignment:
                 session = self._fleet.sessions[worker]
-                session.dispatcher.add_pending_start(task.task_id)
+                self._fleet.pending_starts.add((task.task_id, run))
                 placements.append(
                     Placement(
                         task.task_id,
@@ -158,6 +158,4 @@
         )
 
     def _cancel_pending_start(self, placement: Placement) -> None:
-        session = self._fleet.sessions.get(placement.worker)
-        if session is not None:
-            session.dispatcher.cancel_pending_start(placement.task_id)
+        self._fleet.pending_starts.discard((placement.task_id, placement.run))
--- a/lagoonbeam/site/scheduler.py
+++ b/lagoonbeam/site/scheduler.py
@@ -340,7 +340,9 @@
                 await self._plan_requested.wait()
             self._plan_requested = anyio.Event()
             await self._termination_recorder.end_runs_on_lost_workers(
-                self._fleet.sessions, self._find_lease_expiry_s
+                self._fleet.sessions,
+                self._fleet.pending_starts,
+                self._find_lease_expiry_s,
             )
             await self._termination_recorder.end_failed_and_expired_jobs()
             for worker, task in self._fleet.find_tasks_outlasting_drain():
--- a/lagoonbeam/site/session.py
+++ b/lagoonbeam/site/session.py
@@ -25,7 +25,7 @@
     WorkerReport,
 )
 from lagoonbeam.site.platform_interface import WorkerClient
-from lagoonbeam.site.records import RunEnd
+from lagoonbeam.site.records import RunEnd, RunKey
 from lagoonbeam.site.run_dispatcher import RunDispatcher
 from lagoonbeam.site.run_pacer import RunPacer
 from lagoonbeam.site.scheduler_callbacks import SchedulerCallbacks
@@ -64,6 +64,7 @@
         scheduler: SchedulerCallbacks,
         *,
         lease: Lease,
+        pending_starts: set[RunKey],
         decisions: DecisionLog,
     ):
         self.report = report
@@ -78,7 +79,12 @@
         self._monitor = DependencyMonitor(f"worker {report.worker}", decisions)
         self._lease = lease
         self.dispatcher = RunDispatcher(
-            report.worker, client, self._lease, scheduler, decisions
+            report.worker,
+            client,
+            self._lease,
+            scheduler,
+            pending_starts,
+            decisions,
         )
         self._acked_sequence = 0
         self._stall_detector = StallDetector()
@@ -162,7 +168,7 @@
             not self._is_lease_term_recorded()
             or any(
                 task.task_id not in self.running
-                and not self.dispatcher.is_start_pending(task.task_id)
+                and not self.dispatcher.is_start_pending(task)
                 for task in placed_tasks
             )
         )
@@ -213,7 +219,7 @@
         ends = [
             self._make_lapse(task)
             for task in self._list_placed_tasks()
-            if not self.dispatcher.is_start_pending(task.task_id)
+            if not self.dispatcher.is_start_pending(task)
         ]
         if ends:
             self._decisions.emit(
@@ -256,7 +262,7 @@
 
     def _has_begun_before(self, task: Task, time_s: float) -> bool:
         """Whether a run of a task had certainly begun at a monotonic time."""
-        if self.dispatcher.is_start_pending(task.task_id):
+        if self.dispatcher.is_start_pending(task):
             return False
         running = self.running.get(task.task_id)
         return (
@@ -282,7 +288,7 @@
         for task in self._list_placed_tasks():
             run_key = (task.task_id, task.run)
             if (
-                self.dispatcher.is_start_pending(task.task_id)
+                self.dispatcher.is_start_pending(task)
                 or task.task_id in self.running
                 or run_key in ended_runs
                 or self.dispatcher.was_start_confirmed_after(
--- a/lagoonbeam/site/termination.py
+++ b/lagoonbeam/site/termination.py
@@ -3,7 +3,13 @@
 from __future__ import annotations
 
 import time
-from collections.abc import Awaitable, Callable, Iterable, Sequence
+from collections.abc import (
+    Awaitable,
+    Callable,
+    Container,
+    Iterable,
+    Sequence,
+)
 
 from lagoonbeam.site.attempts import find_failed_unit, get_max_attempts
 from lagoonbeam.site.decision_log import DecisionLog
@@ -21,6 +27,7 @@
     JobFailed,
     Record,
     RunEnd,
+    RunKey,
     RunsEnded,
 )
 from lagoonbeam.site.state import SiteState
@@ -127,12 +134,14 @@
     async def end_runs_on_lost_workers(
         self,
         workers_with_session: Iterable[str],
+        pending_starts: Container[RunKey],
         find_lease_expiry_s: Callable[[str], float],
     ) -> None:
         """Ends the runs placed on workers that have no session.
 
         Args:
             workers_with_session: Names of the workers that have one.
+            pending_starts: Runs whose start may not have been sent yet.
             find_lease_expiry_s: Returns when all leases on a worker have
                 expired, in monotonic time.
         """
@@ -144,6 +153,7 @@
             and worker not in known_workers
             and time.monotonic() > find_lease_expiry_s(worker)
             for task in tasks.values()
+            if (task.task_id, task.run) not in pending_starts
         ]
         if ends:
             self._decisions.emit(Event.WORKER_GONE, runs=len(ends))
--- a/tests/site/test_fleet.py
+++ b/tests/site/test_fleet.py
@@ -16,7 +16,13 @@
 from lagoonbeam.site.placement import Assignment
 from lagoonbeam.site.planner_state import PlannerState
 from lagoonbeam.site.platform_interface import ZoneEvacuations
-from lagoonbeam.site.records import JobCancelled, Record, RunEnd, RunsEnded
+from lagoonbeam.site.records import (
+    JobCancelled,
+    Record,
+    RunEnd,
+    RunKey,
+    RunsEnded,
+)
 from lagoonbeam.site.run_launcher import RunLauncher
 from lagoonbeam.site.state import SiteState
 from tests.site.builders import accept_job, make_job, make_worker_report
@@ -44,13 +50,6 @@
 
     def __init__(self) -> None:
         self.started: list[str] = []
-        self.pending: set[str] = set()
-
-    def add_pending_start(self, task_id: str) -> None:
-        self.pending.add(task_id)
-
-    def cancel_pending_start(self, task_id: str) -> None:
-        self.pending.discard(task_id)
 
     async def start_run(self, task: Any, placement: Any, ticket: str) -> None:
         self.started.append(task.task_id)
@@ -116,9 +115,8 @@
         sessions: list[Any] = list(self.fleet.sessions.values())
         return [n for each in sessions for n in each.dispatcher.started]
 
-    def list_pending(self) -> set[str]:
-        sessions: list[Any] = list(self.fleet.sessions.values())
-        return {n for each in sessions for n in each.dispatcher.pending}
+    def list_pending(self) -> set[RunKey]:
+        return self.fleet.pending_starts
 
     def start_drain(self) -> None:
         session: Any = self.fleet.sessions["w2"]
--- a/tests/site/test_lease.py
+++ b/tests/site/test_lease.py
@@ -104,6 +104,7 @@
             client,
             scheduler,
             lease=Lease(LEASE_S, 0.0),
+            pending_starts=set(),
             decisions=DecisionLog("n0", "z1", descriptor=2),
         )
         session._lease.record_clock(50_000)
--- a/tests/site/test_session.py
+++ b/tests/site/test_session.py
@@ -139,6 +139,7 @@
             self.client,
             scheduler,
             lease=Lease(5.0, leases_expire_at_s),
+            pending_starts=set(),
             decisions=DecisionLog("n0", "z1", descriptor=2),
         )
         self.client.on_exhausted = self.session.close
--- a/tests/site/test_termination.py
+++ b/tests/site/test_termination.py
@@ -124,9 +124,12 @@
     (unit,) = accept_job(fixture.state, make_job("a"))
     record_placement(fixture.state, unit, "gone")
     end_runs = fixture.recorder.end_runs_on_lost_workers
-    anyio.run(end_runs, ["w0"], lambda worker: time.monotonic() + 9.0)
+    anyio.run(end_runs, ["w0"], (), lambda worker: time.monotonic() + 9.0)
     assert unit.has_placements
-    anyio.run(end_runs, ["w0"], lambda worker: float("-inf"))
+    starting = {(unit.key, 1)}
+    anyio.run(end_runs, ["w0"], starting, lambda worker: float("-inf"))
+    assert unit.has_placements
+    anyio.run(end_runs, ["w0"], (), lambda worker: float("-inf"))
     assert not unit.has_placements
 
 
