--- a/lagoonbeam/site/run_dispatcher.py
+++ b/lagoonbeam/site/run_dispatcher.py
@@ -29,6 +29,10 @@
 1 s, plus the time to restore."""
 
 
+class StartNotSentError(Exception):
+    """A start was not sent, since its lease could not be bounded."""
+
+
 class RunDispatcher:
     """Starts and stops runs on one worker.
 
@@ -115,28 +119,30 @@
             placement.checkpoint,
             ticket,
         )
-        outcome = "started"
+        outcome = "not answered"
         try:
+            if not self._lease.has_clock_reading:
+                raise StartNotSentError("the worker's clock was not read yet")
             await self._client.start(
                 order,
                 token=self._scheduler.token,
                 lease_deadline_ms=self._lease.grant(),
             )
             self._start_confirmed_at_s[placement.task_id] = time.monotonic()
+            outcome = "started"
         except FencedError:
+            outcome = "refused: fence"
             self._scheduler.lose_term(
                 f"worker {self._worker} has a newer token"
             )
-            return
+        except StartNotSentError as error:
+            outcome = f"not sent: {error}"
+            await self._end_unstarted(task, placement, EndEvidence.NOT_SENT)
         except StartRefusedError as refusal:
             outcome = f"refused: {refusal.reason}"
-            end = RunEnd(
-                placement.task_id, placement.run, RunEndReason.NEVER_STARTED
-            )
-            await self._scheduler.record_run_ends(
-                [end], EndEvidence.START_REFUSED
+            await self._end_unstarted(
+                task, placement, EndEvidence.START_REFUSED
             )
-            self._scheduler.on_start_refused(self._worker, task)
         except UnavailableError as error:
             outcome = f"in doubt: {error}"
         finally:
@@ -152,6 +158,16 @@
                 outcome=outcome,
             )
 
+    async def _end_unstarted(
+        self, task: Task, placement: Placement, evidence: EndEvidence
+    ) -> None:
+        """Records that a placed run has not started and never will."""
+        end = RunEnd(
+            placement.task_id, placement.run, RunEndReason.NEVER_STARTED
+        )
+        await self._scheduler.record_run_ends([end], evidence)
+        self._scheduler.on_start_refused(self._worker, task)
+
     def request_stop(self, task_id: str, run: int, cause: str) -> None:
         """Sends a stop command, unless it is too early to repeat the last."""
         run_key = (task_id, run)
--- a/tests/site/worker_site.py
+++ b/tests/site/worker_site.py
@@ -248,6 +248,12 @@
             for data in self.store.records
         )
 
+    async def wait_for_any_begin(self) -> None:
+        """Waits until any worker has begun a run."""
+        with anyio.fail_after(60.0):
+            while not any(worker.begun for worker in self.audit.workers):
+                await anyio.sleep(0.01)
+
     async def run_on_first_worker(self, **fields: Any) -> WorkerModel:
         """Starts a run on w1, in a term without leases of earlier ones."""
         worker = self.add_worker("w1", 1, **fields)
