--- a/lagoonbeam/site/run_dispatcher.py
+++ b/lagoonbeam/site/run_dispatcher.py
@@ -123,6 +123,8 @@
         try:
             if not self._lease.has_clock_reading:
                 raise StartNotSentError("the worker's clock was not read yet")
+            if not self._scheduler.may_renew_leases:
+                raise StartNotSentError("no append was confirmed for too long")
             await self._client.start(
                 order,
                 token=self._scheduler.token,
