--- a/lagoonbeam/site/run_dispatcher.py
+++ b/lagoonbeam/site/run_dispatcher.py
@@ -68,6 +68,7 @@
         self._start_confirmed_at_s: dict[str, float] = {}
         self._stop_retry_at_s: dict[RunKey, float] = {}
         self._stop_confirmed_at_s: dict[RunKey, float] = {}
+        self._restart_count = 0
         self.task_group: anyio.abc.TaskGroup | None = None
 
     def is_start_pending(self, task: Task) -> bool:
@@ -190,6 +191,7 @@
         self.task_group.start_soon(self._send_stop, task_id, run)
 
     async def _send_stop(self, task_id: str, run: int) -> None:
+        restart_count = self._restart_count
         try:
             await self._client.stop(task_id, run, token=self._scheduler.token)
         except FencedError:
@@ -208,10 +210,12 @@
                 time.monotonic() + UNANSWERED_STOP_RETRY_S
             )
         else:
-            self._stop_confirmed_at_s[task_id, run] = time.monotonic()
+            if restart_count == self._restart_count:
+                self._stop_confirmed_at_s[task_id, run] = time.monotonic()
 
     def discard_stops(self) -> None:
         """Discards all stops; a restarted worker knows none of them."""
+        self._restart_count += 1
         self._stop_retry_at_s.clear()
         self._stop_confirmed_at_s.clear()
 
