Let a run number name one placement only (TWICE)

A placement whose record is not confirmed in 10 s is planned again, under the same number. If both records are stored, the second replaced the first. A conclusion about the first worker, that the run never began there, then ended the run of that number on the second worker, which went on beside a third.

By reading; test_run_number_that_is_placed_twice_exists_only_once failed before. A placement is applied only if its number is higher than the task's last.

--- a/lagoonbeam/site/state.py
+++ b/lagoonbeam/site/state.py
@@ -316,7 +316,8 @@
 def _(record: RunsPlaced, state: SiteState) -> None:
     for placement in record.placements:
         task = state.tasks.get(placement.task_id)
-        if task is None:
+        # A placement that was not confirmed in time is planned again.
+        if task is None or placement.run <= task.run:
             continue
         task.run = placement.run
         state.set_placement(task, placement)
--- a/tests/site/test_state.py
+++ b/tests/site/test_state.py
@@ -65,6 +65,18 @@
     assert unit.next_run == 4
 
 
+def test_run_number_that_is_placed_twice_exists_only_once() -> None:
+    """The end of a run that never began ended its namesake, which ran."""
+    state = SiteState()
+    (unit,) = accept_job(state, make_job("a"))
+    record_placement(state, unit, "w1")
+    record_placement(state, unit, "w2")
+    (task,) = unit.tasks
+    assert task.placement == Placement(unit.key, 1, "w1", 1)
+    assert list(state.tasks_by_worker["w1"]) == [unit.key]
+    assert not state.tasks_by_worker["w2"]
+
+
 def test_only_failed_runs_count_as_failures() -> None:
     state = SiteState()
     (unit,) = accept_job(state, make_job("a"))
