Keep polling a worker that answers when its entry is another's

An entry of another writer, or the late one of an earlier life, replaced the session of a worker that was answering. It was no longer polled, its leases ran out and its runs were lost and begun again; since the leases decide, not twice.

A session whose worker answers as another incarnation than the entry's now stays open; the worker gets no new runs meanwhile. A restart shows by the new incarnation in a reply, or by polls that fail at the old address.

test_entry_of_another_writer_does_not_cut_off_an_answering_worker failed before (2 of 2).

--- a/lagoonbeam/site/fleet.py
+++ b/lagoonbeam/site/fleet.py
@@ -180,17 +180,33 @@
             elif report.incarnation == session.report.incarnation:
                 session.update_report(report)
             else:
-                self._decisions.emit(
-                    Event.WORKER_ENTRY_CHANGED,
-                    worker=name,
-                    incarnation=report.incarnation,
-                    known=session.incarnation,
-                    address=f"{report.host}:{report.port}",
-                    outcome="session reopened",
-                )
-                # A stale entry may name an incarnation that has ended.
-                session.close()
-                del self.sessions[name]
+                self._handle_changed_entry(session, report)
+
+    def _handle_changed_entry(
+        self, session: WorkerSession, report: WorkerReport
+    ) -> None:
+        """Reopens a session, unless its worker proves the entry to be stale.
+
+        A worker that has restarted answers as the incarnation of the entry, or
+        no longer answers at the address it had.
+        """
+        is_stale = (
+            session.is_answering and session.incarnation != report.incarnation
+        )
+        if not is_stale or session.is_listed:
+            self._decisions.emit(
+                Event.WORKER_ENTRY_CHANGED,
+                worker=session.worker,
+                incarnation=report.incarnation,
+                known=session.incarnation,
+                address=f"{report.host}:{report.port}",
+                outcome="ignored" if is_stale else "session reopened",
+            )
+        if is_stale:
+            session.is_listed = False
+        else:
+            session.close()
+            del self.sessions[session.worker]
 
     def _open_session(self, report: WorkerReport) -> WorkerSession:
         lease = Lease(
--- a/lagoonbeam/site/session.py
+++ b/lagoonbeam/site/session.py
@@ -110,6 +110,11 @@
             and time.monotonic() - self._last_stall_s > STALL_COOLDOWN_S
         )
 
+    @property
+    def is_answering(self) -> bool:
+        """Whether the worker answered the newest poll."""
+        return self.has_been_polled and not self.failed_polls
+
     def update_report(self, report: WorkerReport) -> None:
         """Stores a newer report of the worker."""
         if report is not self.report:
--- a/tests/site/test_presumed_ends_replaced_entry.py
+++ b/tests/site/test_presumed_ends_replaced_entry.py
@@ -61,3 +61,17 @@
 ) -> None:
     scenario = show_entry_for(3, 77, duration_s)
     assert play(monkeypatch, scenario).violations == []
+
+
+@pytest.mark.parametrize("address_number", [3, 9])
+def test_entry_of_another_writer_does_not_cut_off_an_answering_worker(
+    monkeypatch: pytest.MonkeyPatch, address_number: int
+) -> None:
+    """The run would lapse on a worker that is no longer polled."""
+    scenario = show_entry_for(address_number, 77, 20.0)
+    audit = play(monkeypatch, scenario)
+    assert audit.violations == []
+    assert FIRST_RUN not in audit.presumed_ends
+    assert [key for worker in audit.workers for key in worker.begun] == [
+        FIRST_RUN
+    ]
