Withdraw a placement at once if its worker's session is gone

A placement that is confirmed after its worker has restarted, or without a session of the worker, was not started but stayed placed; the rest of its gang was started. As a worker without session now keeps its runs until all leases have expired, such a task would wait for up to a lease.

The two new cases of the test of withdrawn gangs failed before. The unit is recorded as never started and placed again.

--- a/lagoonbeam/site/run_launcher.py
+++ b/lagoonbeam/site/run_launcher.py
@@ -110,9 +110,6 @@
             and (task := tasks.get(placement.task_id)) is not None
             and task.placement == placement
             and task.unit.job.is_open
-            and self._fleet.has_incarnation(
-                placement.worker, placement.incarnation
-            )
         ]
         valid_ids = {task.task_id for task, _ in valid_placements}
         for placement in placements:
@@ -122,6 +119,9 @@
             task.unit.key
             for task, placement in valid_placements
             if not self._fleet.accepts_runs(placement.worker)
+            or not self._fleet.has_incarnation(
+                placement.worker, placement.incarnation
+            )
         }
         withdrawn = [
             placement
--- a/tests/site/test_fleet.py
+++ b/tests/site/test_fleet.py
@@ -127,6 +127,13 @@
     def evacuate(self) -> None:
         self.evacuations.zones = frozenset({"z2"})
 
+    def restart_worker(self) -> None:
+        session: Any = self.fleet.sessions["w2"]
+        session.incarnation = 2
+
+    def close_session(self) -> None:
+        del self.fleet.sessions["w2"]
+
     def cordon(self) -> None:
         self.fleet.evacuations.add("w2")
 
@@ -149,7 +156,10 @@
     assert not launch.ends
 
 
-@pytest.mark.parametrize("change", ["start_drain", "evacuate", "cordon"])
+@pytest.mark.parametrize(
+    "change",
+    ["start_drain", "evacuate", "cordon", "restart_worker", "close_session"],
+)
 async def test_gang_is_withdrawn_if_a_worker_is_closed_while_journaling(
     change: str,
 ) -> None:
