--- a/lagoonbeam/site/termination.py
+++ b/lagoonbeam/site/termination.py
@@ -146,17 +146,26 @@
                 expired, in monotonic time.
         """
         known_workers = set(workers_with_session)
-        ends = [
-            RunEnd(task.task_id, task.run, RunEndReason.LEASE_EXPIRED)
-            for worker, tasks in self._get_state().tasks_by_worker.items()
+        tasks_by_worker = self._get_state().tasks_by_worker
+        lost_workers = [
+            worker
+            for worker, tasks in tasks_by_worker.items()
             if tasks
             and worker not in known_workers
             and time.monotonic() > find_lease_expiry_s(worker)
-            for task in tasks.values()
+        ]
+        ends = [
+            RunEnd(task.task_id, task.run, RunEndReason.LEASE_EXPIRED)
+            for worker in lost_workers
+            for task in tasks_by_worker[worker].values()
             if (task.task_id, task.run) not in pending_starts
         ]
         if ends:
-            self._decisions.emit(Event.WORKER_GONE, runs=len(ends))
+            self._decisions.emit(
+                Event.WORKER_GONE,
+                workers=sorted(lost_workers),
+                runs=len(ends),
+            )
             await self.record_run_ends(ends, EndEvidence.NO_SESSION)
 
     def _log_presumed_ends(
