--- a/lagoonbeam/site/journal_appender.py
+++ b/lagoonbeam/site/journal_appender.py
@@ -81,7 +81,8 @@
         sequence: Sequence number of the first append.
 
     Attributes:
-        last_confirmed_append_s: When the last confirmed append was sent.
+        last_confirmed_append_s: Time after which the last confirmed append was
+            stored. A repeat may be answered though a newer epoch was claimed.
         error: Why the appender stopped; None while it runs.
     """
 
@@ -175,7 +176,7 @@
         records = batch.records
         data = [encode_record(record) for record in records]
         started_s = read_boot_time_s()
-        may_be_stored = False
+        stored_after_s = float("inf")
         timeouts_s = chain(APPEND_TIMEOUTS_S, repeat(APPEND_TIMEOUTS_S[-1]))
         for timeout_s in timeouts_s:
             sent_s = read_boot_time_s()
@@ -190,15 +191,14 @@
                 self._abandon_writer(batch, error)
                 return
             except UnavailableError as error:
-                may_be_stored = may_be_stored or isinstance(
-                    error, ResponseLostError
-                )
-                if not may_be_stored and not self._writer.epoch:
+                if isinstance(error, ResponseLostError):
+                    stored_after_s = min(sent_s, stored_after_s)
+                elif stored_after_s == float("inf") and not self._writer.epoch:
                     batch.error = LogUnavailableError(error.detail)
                     return
             else:
                 self._sequence += 1
-                self.last_confirmed_append_s = sent_s
+                self.last_confirmed_append_s = min(sent_s, stored_after_s)
                 batch.end_offset = first_offset + len(records)
                 self._follower.apply_appended(first_offset, records)
                 return
--- a/tests/site/test_journal_appender.py
+++ b/tests/site/test_journal_appender.py
@@ -15,6 +15,7 @@
     ProducerSequenceError,
     ResponseLostError,
     ServerUnreachableError,
+    StoreBusyError,
 )
 from lagoonbeam.site import journal_appender as appender_module
 from lagoonbeam.site.decision_log import DecisionLog
@@ -35,6 +36,7 @@
     Attributes:
         append_errors: Errors that the next appends raise, one each. The
             records are stored only if it is an `ResponseLostError`.
+        append_times_s: When each append was attempted, on the boot clock.
         is_unresponsive: Whether appends time out without being stored.
     """
 
@@ -43,6 +45,7 @@
         self.offsets_by_append: dict[tuple[str, int, int], int] = {}
         self.last_appends: dict[str, tuple[int, int]] = {}
         self.append_errors: list[LagoonbeamError] = []
+        self.append_times_s: list[float] = []
         self.is_unresponsive = False
         self.snapshot: Snapshot | None = None
 
@@ -55,6 +58,7 @@
         timeout_s: float,
         expected_offset: int | None = None,
     ) -> int:
+        self.append_times_s.append(read_boot_time_s())
         await anyio.sleep(0.005)
         append_error = self.append_errors.pop(0) if self.append_errors else None
         if append_error is not None and not isinstance(
@@ -169,6 +173,26 @@
     run_appender_scenario(scenario)
 
 
+def test_repeated_append_is_confirmed_from_its_first_sending() -> None:
+    """A deposed term renewed leases after a repeat of an old append."""
+
+    async def scenario(
+        store: FakeJournalStore,
+        follower: JournalFollower,
+        appender: JournalAppender,
+    ) -> None:
+        store.append_errors = [
+            StoreBusyError("busy"),
+            ResponseLostError("lost"),
+            ResponseLostError("lost"),
+        ]
+        await _append(appender, JobCancelled("a"))
+        refused_s, first_sent_s, *_ = store.append_times_s
+        assert refused_s < appender.last_confirmed_append_s <= first_sent_s
+
+    run_appender_scenario(scenario, epoch=1)
+
+
 def test_unsent_append_fails_at_once_and_is_not_stored() -> None:
     async def scenario(
         store: FakeJournalStore,
