--- a/tests/site/test_presumed_ends.py
+++ b/tests/site/test_presumed_ends.py
@@ -5,6 +5,8 @@
 import anyio
 import pytest
 
+from lagoonbeam.site.lease import Lease
+from tests.site.worker_model import MAX_HOLD_MS
 from tests.site.worker_site import (
     FIRST_RUN,
     SECOND_RUN,
@@ -43,3 +45,26 @@
     audit = play(monkeypatch, scenario)
     assert FIRST_RUN in audit.presumed_ends
     assert audit.violations == []
+
+
+@pytest.mark.parametrize("clock_rate", [0.98, 1.0, 1.02])
+@pytest.mark.parametrize("reading_age_s", [0.0, 0.5, 4.0])
+def test_lease_expires_only_after_its_worker_has_killed_its_runs(
+    monkeypatch: pytest.MonkeyPatch, clock_rate: float, reading_age_s: float
+) -> None:
+    """The worker's clock and its lease are looked at each millisecond."""
+
+    async def scenario(site: WorkerSite) -> None:
+        worker = site.add_worker("w1", 1, clock_rate=clock_rate)
+        lease = Lease(MAX_HOLD_MS / 1000, float("inf"))
+        lease.record_clock(int(worker.clock_ms))
+        await anyio.sleep(reading_age_s)
+        order = {"task": FIRST_RUN[0], "run": 1, "deadline_ms": lease.grant()}
+        await worker.handle("run-start", order)
+        with anyio.fail_after(20.0):
+            while not lease.has_expired:
+                await anyio.sleep(0.001)
+        assert worker.begun == [FIRST_RUN]
+        assert not worker.is_running(FIRST_RUN)
+
+    play(monkeypatch, scenario)
