Give a worker time to stop its runs when their lease is over

The expiry of a lease was exact for a clock that is 2 % slow, and left nothing for the kill.

An expiry, of this and of earlier terms, now includes stop_timeout_ms. test_lease_is_over_only_after_the_worker_had_time_to_stop_its_runs names a parameter that did not exist before.

--- a/lagoonbeam/site/fleet.py
+++ b/lagoonbeam/site/fleet.py
@@ -44,6 +44,7 @@
         connector: Creates clients for workers.
         scheduler: The scheduler, which the sessions report to.
         lease_s: Duration of each lease, in seconds.
+        stop_timeout_s: Longest time that a worker takes to stop a run.
         decisions: The decision log.
         zone_evacuations: Zones that operators evacuate; None if the platform
             has no such requests.
@@ -63,6 +64,7 @@
         scheduler: SchedulerCallbacks,
         *,
         lease_s: float,
+        stop_timeout_s: float = 0.0,
         decisions: DecisionLog,
         zone_evacuations: ZoneEvacuations | None = None,
     ):
@@ -79,6 +81,7 @@
         self._connector = connector
         self._scheduler = scheduler
         self._lease_s = lease_s
+        self._stop_timeout_s = stop_timeout_s
         self._decisions = decisions
         self._zone_evacuations = zone_evacuations
         self._leases: dict[str, Lease] = {}
@@ -213,6 +216,7 @@
             self._lease_s,
             self._scheduler.find_prior_lease_expiry_s(report.worker),
             self._leases.get(report.worker),
+            stop_timeout_s=self._stop_timeout_s,
         )
         self._leases[report.worker] = lease
         session = WorkerSession(
--- a/lagoonbeam/site/lease.py
+++ b/lagoonbeam/site/lease.py
@@ -35,6 +35,8 @@
             granted in earlier terms have expired.
         predecessor: The lease of the worker's previous session in this term.
             An order of that session may still be on its way.
+        stop_timeout_s: Longest time that the worker takes to stop the runs
+            once the lease has expired.
     """
 
     def __init__(
@@ -42,8 +44,11 @@
         lease_s: float,
         earlier_leases_expire_at_s: float,
         predecessor: Lease | None = None,
+        *,
+        stop_timeout_s: float = 0.0,
     ):
         self._lease_s = lease_s
+        self._stop_timeout_s = stop_timeout_s
         if predecessor is not None and predecessor.has_expired:
             predecessor = None
         self._predecessor = predecessor
@@ -111,9 +116,10 @@
             self._expires_at_s = savepoint.expires_at_s
 
     def _to_local_time_s(self, worker_clock_ms: float) -> float:
-        """Latest local time at which the worker's clock reaches a reading."""
+        """Latest local time at which a lease with this deadline is over."""
         remaining_s = (worker_clock_ms - self._worker_clock_ms) / 1000
         return (
             self._clock_read_at_s
             + max(0.0, remaining_s) / MIN_WORKER_CLOCK_RATE
+            + self._stop_timeout_s
         )
--- a/lagoonbeam/site/scheduler.py
+++ b/lagoonbeam/site/scheduler.py
@@ -101,6 +101,7 @@
             platform_services.worker_connector,
             self,
             lease_s=time_limits.lease_s,
+            stop_timeout_s=time_limits.stop_timeout_s,
             decisions=decisions,
             zone_evacuations=platform_services.zone_evacuations,
         )
@@ -187,11 +188,12 @@
         """Returns when all leases of earlier terms on a worker have expired."""
         earlier_term = self.token - 1
         last_term = self.state.lease_terms.get(worker, earlier_term)
-        return self._follower.term_claims.find_lease_expiry_s(
+        expires_at_s = self._follower.term_claims.find_lease_expiry_s(
             self.state,
             min(last_term, earlier_term),
             self._time_limits.lease_s,
         )
+        return expires_at_s + self._time_limits.stop_timeout_s
 
     def _find_lease_expiry_s(self, worker: str) -> float:
         """Returns when all leases on a worker, of any term, have expired."""
--- a/lagoonbeam/site/time_limits.py
+++ b/lagoonbeam/site/time_limits.py
@@ -14,8 +14,10 @@
         store_retention_s: Time for which the store keeps records.
         configuration_apply_s: Time after which a published configuration must
             be in force.
+        stop_timeout_s: Longest time that a worker takes to stop a run.
     """
 
     lease_s: float
     store_retention_s: float
     configuration_apply_s: float
+    stop_timeout_s: float = 0.0
--- a/tests/site/test_lease.py
+++ b/tests/site/test_lease.py
@@ -47,6 +47,17 @@
     return lease
 
 
+def test_lease_is_over_only_after_the_worker_had_time_to_stop_its_runs(
+    manual_clock: ManualClock,
+) -> None:
+    lease = Lease(LEASE_S, 0.0, stop_timeout_s=0.9)
+    lease.record_clock(50_000)
+    manual_clock.now_s += LEASE_S / 0.98 + 0.8
+    assert not lease.has_expired
+    manual_clock.now_s += 0.2
+    assert lease.has_expired
+
+
 def test_lease_expiry_allows_for_the_slowest_worker_clock(
     manual_clock: ManualClock,
 ) -> None:
