--- a/lagoonbeam/site/run_dispatcher.py
+++ b/lagoonbeam/site/run_dispatcher.py
@@ -65,7 +65,7 @@
         self._decisions = decisions
         self._created_at_s = time.monotonic()
         self._pending_starts = pending_starts
-        self._start_confirmed_at_s: dict[str, float] = {}
+        self._start_confirmed_at_s: dict[RunKey, float] = {}
         self._stop_retry_at_s: dict[RunKey, float] = {}
         self._stop_confirmed_at_s: dict[RunKey, float] = {}
         self._restart_count = 0
@@ -75,13 +75,15 @@
         """Whether a start is being journaled or has not been answered yet."""
         return (task.task_id, task.run) in self._pending_starts
 
-    def was_start_confirmed_after(self, task_id: str, time_s: float) -> bool:
+    def was_start_confirmed_after(self, task: Task, time_s: float) -> bool:
         """Whether the worker confirmed a start after a monotonic time."""
-        return self._start_confirmed_at_s.get(task_id, float("-inf")) > time_s
+        run_key = (task.task_id, task.run)
+        return self._start_confirmed_at_s.get(run_key, float("-inf")) > time_s
 
-    def was_start_confirmed_before(self, task_id: str, time_s: float) -> bool:
+    def was_start_confirmed_before(self, task: Task, time_s: float) -> bool:
         """Whether the worker confirmed a start before a monotonic time."""
-        return self._start_confirmed_at_s.get(task_id, float("inf")) < time_s
+        run_key = (task.task_id, task.run)
+        return self._start_confirmed_at_s.get(run_key, float("inf")) < time_s
 
     def was_stop_confirmed_before(
         self, task_id: str, run: int, time_s: float
@@ -98,7 +100,7 @@
         object was created.
         """
         started_s = self._start_confirmed_at_s.get(
-            task.task_id, self._created_at_s
+            (task.task_id, task.run), self._created_at_s
         )
         return time.monotonic() - started_s
 
@@ -131,7 +133,9 @@
                 token=self._scheduler.token,
                 lease_deadline_ms=self._lease.grant(),
             )
-            self._start_confirmed_at_s[placement.task_id] = time.monotonic()
+            self._start_confirmed_at_s[placement.task_id, placement.run] = (
+                time.monotonic()
+            )
             outcome = "started"
         except FencedError:
             outcome = "refused: fence"
@@ -227,4 +231,4 @@
         """
         self._stop_retry_at_s.pop((task_id, run), None)
         self._stop_confirmed_at_s.pop((task_id, run), None)
-        return self._start_confirmed_at_s.pop(task_id, None)
+        return self._start_confirmed_at_s.pop((task_id, run), None)
--- a/lagoonbeam/site/session.py
+++ b/lagoonbeam/site/session.py
@@ -272,7 +272,7 @@
         running = self.running.get(task.task_id)
         return (
             running is not None and running.run == task.run
-        ) or self.dispatcher.was_start_confirmed_before(task.task_id, time_s)
+        ) or self.dispatcher.was_start_confirmed_before(task, time_s)
 
     def _make_lapse(self, task: Task) -> RunEnd:
         running = self.running.get(task.task_id)
@@ -296,9 +296,7 @@
                 self.dispatcher.is_start_pending(task)
                 or task.task_id in self.running
                 or run_key in ended_runs
-                or self.dispatcher.was_start_confirmed_after(
-                    task.task_id, sent_s
-                )
+                or self.dispatcher.was_start_confirmed_after(task, sent_s)
             ):
                 continue
             if self.dispatcher.was_stop_confirmed_before(*run_key, sent_s):
@@ -328,7 +326,7 @@
         """Whether a run that the worker no longer lists may have executed."""
         placement = task.placement
         return self.dispatcher.was_start_confirmed_after(
-            task.task_id, float("-inf")
+            task, float("-inf")
         ) or (
             placement is not None and placement.incarnation != self.incarnation
         )
--- a/tests/site/test_session.py
+++ b/tests/site/test_session.py
@@ -240,3 +240,17 @@
         await play.session._poll()
         tasks.cancel_scope.cancel()
     assert play.client.lease_deadlines_ms[-1] is not None
+
+
+async def test_start_confirmed_of_an_earlier_run_does_not_end_the_next() -> (
+    None
+):
+    """The next run, whose start was in doubt, was taken as begun and lost."""
+    play = SessionRun(make_reply(RESTARTED))
+    await play.confirm_starts()
+    (unit,) = play.units
+    failed = RunEnd(unit.key, 1, RunEndReason.FAILED)
+    play.scheduler.state.apply(RunsEnded((failed,)))
+    record_placement(play.scheduler.state, unit, "w1", run=2)
+    assert await play.run() == []
+    assert play.client.stopped == [(unit.key, 2)]
