Ignore signals from the end of a drain until the exit

Cause: anyio's signal receiver restores the default action when it closes, and so does the event loop, while the process still closes connections and the interpreter ends. Blocking the signal in the main thread isn't enough: the thread that resolves the listeners' addresses has a mask of its own.

An entry writes entry.closed once its signals are no longer handled. SIGHUP keeps its default action in the zones' programs, which reload nothing.

What remains: in the zones' programs a thread that doesn't block the signals could take one in the instant between the default action and ignoring it.

--- a/lagoonbeam/commands/entry.py
+++ b/lagoonbeam/commands/entry.py
@@ -98,9 +98,9 @@
             shutdown_requested,
         )
         await scheduler_client.close()
-        events.emit("entry.closed")
         metrics.close()
         task_group.cancel_scope.cancel()
+        events.emit("entry.closed")
 
 
 async def _serve_http(
--- a/lagoonbeam/commands/program_lifecycle.py
+++ b/lagoonbeam/commands/program_lifecycle.py
@@ -12,6 +12,7 @@
 import typer
 
 from lagoonbeam.core.settings import Settings, load_settings
+from lagoonbeam.core.signal_receiver import receive_signals
 from lagoonbeam.errors import SettingsError
 
 EXIT_FAILED = 1
@@ -33,13 +34,13 @@
 async def drain_on_signal(drain: Callable[[], Awaitable[None]]) -> None:
     """Drains on the first SIGTERM or SIGINT; a second one exits at once.
 
+    Signals after the drain are ignored.
+
     Args:
         drain: Finishes work in flight; when it returns, so does this
             function, and the program can exit.
     """
-    with anyio.open_signal_receiver(
-        signal.SIGTERM, signal.SIGINT
-    ) as received_signals:
+    with receive_signals(signal.SIGTERM, signal.SIGINT) as received_signals:
         async with anyio.create_task_group() as task_group:
             signal_count = 0
             async for _ in received_signals:
