--- a/lagoonbeam/site/events.py
+++ b/lagoonbeam/site/events.py
@@ -109,6 +109,9 @@
     """The instance takes no new callers."""
     INSTANCE_STOP = "instance.stop"
     """The process ends."""
+    INSTANCE_FAILED = "instance.failed"
+    """The process ends because of an error, for example in its settings;
+    ``platform/start.py`` writes it, as imports may have failed."""
     SETTINGS_RELOAD = "settings.reload"
     """The settings were reloaded; outcome."""
     LOG_LEFT_OUT = "log.left_out"
--- a/tests/site/test_decision_log.py
+++ b/tests/site/test_decision_log.py
@@ -96,9 +96,14 @@
         name for path in sources for name in find_emits(path)
     )
     emitted_by_log = {Event.LOG_LEFT_OUT.name}
+    emitted_without_imports = {Event.INSTANCE_FAILED.name}
     assert emits_by_event == Counter(
-        event.name for event in Event if event.name not in emitted_by_log
+        event.name
+        for event in Event
+        if event.name not in emitted_by_log | emitted_without_imports
     )
+    start_script = (ROOT / "platform" / "start.py").read_text()
+    assert start_script.count(f'"{Event.INSTANCE_FAILED.value}"') == 1
 
 
 def test_operations_page_names_exactly_the_events() -> None:
