--- a/harness/mutations.py
+++ b/harness/mutations.py
@@ -13,6 +13,7 @@
 
 from harness.incident_mutations import INCIDENT_MUTATIONS
 from harness.mutation import Mutation
+from harness.presumed_end_mutations import PRESUMED_END_MUTATIONS
 from harness.site_mutations import SITE_MUTATIONS
 from harness.zone_mutations import ZONE_MUTATIONS
 
@@ -29,7 +30,12 @@
 COPIED_PATHS += ["pyproject.toml", "CONTRIBUTING.md", "KNOWN-RED.txt"]
 TEST_TIMEOUT_S = 180.0
 
-MUTATIONS = [*ZONE_MUTATIONS, *SITE_MUTATIONS, *INCIDENT_MUTATIONS]
+MUTATIONS = [
+    *ZONE_MUTATIONS,
+    *SITE_MUTATIONS,
+    *INCIDENT_MUTATIONS,
+    *PRESUMED_END_MUTATIONS,
+]
 
 
 def run_mutation(mutation: Mutation) -> str:
--- /dev/null
+++ b/harness/presumed_end_mutations.py
@@ -0,0 +1,109 @@
+"""Guards against runs that are taken as ended while their worker runs them."""
+
+from __future__ import annotations
+
+from harness.mutation import Mutation
+
+_TESTS = "tests/site/test_presumed_ends_"
+
+PRESUMED_END_MUTATIONS = [
+    Mutation(
+        "site: leases outlive the session that granted them",
+        "lagoonbeam/site/scheduler.py",
+        "            self._fleet.find_lease_expiry_s(worker),\n",
+        "",
+        f"{_TESTS}without_session.py"
+        "::test_failed_session_does_not_end_runs_that_hold_a_lease",
+    ),
+    Mutation(
+        "site: a session keeps the leases of the one before it",
+        "lagoonbeam/site/lease.py",
+        "        if self._predecessor is None:",
+        "        if True:",
+        "tests/site/test_lease.py"
+        "::test_lease_is_not_over_before_that_of_the_session_before",
+    ),
+    Mutation(
+        "site: another worker's answer confirms no stop",
+        "platform/lagoonbeam_platform/workers.py",
+        "        if response.status != 200:\n"
+        '            raise self._make_error(response, "run-stop")',
+        "        if response.status not in (200, 421):\n"
+        '            raise self._make_error(response, "run-stop")',
+        f"{_TESTS}misdirected.py"
+        "::test_stop_answered_by_another_worker_is_not_confirmed",
+    ),
+    Mutation(
+        "site: a failed poll ends no run before its lease",
+        "lagoonbeam/site/session.py",
+        "        if self._lease.has_expired:\n",
+        "        if True:\n",
+        f"{_TESTS}misdirected.py"
+        "::test_poll_answered_by_another_worker_ends_no_run_under_a_lease",
+    ),
+    Mutation(
+        "site: a start being journaled is not ended",
+        "lagoonbeam/site/termination.py",
+        "            if (task.task_id, task.run) not in pending_starts\n",
+        "",
+        "tests/site/test_termination.py"
+        "::test_runs_on_workers_without_session_are_ended",
+    ),
+    Mutation(
+        "site: no start is sent before the worker's clock was read",
+        "lagoonbeam/site/run_dispatcher.py",
+        "            if not self._lease.has_clock_reading:",
+        "            if False:",
+        f"{_TESTS}replaced_session.py"
+        "::test_start_before_the_first_poll_of_a_session_is_not_sent",
+    ),
+    Mutation(
+        "site: no start is sent long after the last confirmed append",
+        "lagoonbeam/site/run_dispatcher.py",
+        "            if not self._scheduler.may_renew_leases:",
+        "            if False:",
+        f"{_TESTS}earlier_term.py"
+        "::test_start_after_a_late_confirmation_lapses_before_its_end",
+    ),
+    Mutation(
+        "site: a stop counts for the life that confirmed it",
+        "lagoonbeam/site/run_dispatcher.py",
+        "            if restart_count == self._restart_count:",
+        "            if True:",
+        f"{_TESTS}restarted_worker.py"
+        "::test_stop_answered_by_an_earlier_life_is_not_confirmed",
+    ),
+    Mutation(
+        "site: a run number names one placement",
+        "lagoonbeam/site/state.py",
+        "        if task is None or placement.run <= task.run:",
+        "        if task is None:",
+        "tests/site/test_state.py"
+        "::test_run_number_that_is_placed_twice_exists_only_once",
+    ),
+    Mutation(
+        "site: an entry of another writer closes no answering session",
+        "lagoonbeam/site/fleet.py",
+        "            session.is_answering and session.incarnation"
+        " != report.incarnation",
+        "            False",
+        f"{_TESTS}replaced_entry.py"
+        "::test_entry_of_another_writer_does_not_cut_off_an_answering_worker",
+    ),
+    Mutation(
+        "site: a repeated append is dated from its first sending",
+        "lagoonbeam/site/journal_appender.py",
+        "min(sent_s, stored_after_s)\n                batch",
+        "sent_s\n                batch",
+        "tests/site/test_journal_appender.py"
+        "::test_repeated_append_is_confirmed_from_its_first_sending",
+    ),
+    Mutation(
+        "site: a worker has time to stop its runs after their lease",
+        "lagoonbeam/site/lease.py",
+        "            + self._stop_timeout_s\n",
+        "",
+        "tests/site/test_lease.py"
+        "::test_lease_is_over_only_after_the_worker_had_time_to_stop_its_runs",
+    ),
+]
--- a/tests/site/test_lease.py
+++ b/tests/site/test_lease.py
@@ -58,6 +58,22 @@
     assert lease.has_expired
 
 
+def test_lease_is_not_over_before_that_of_the_session_before(
+    manual_clock: ManualClock,
+) -> None:
+    first = make_lease()
+    first.grant()
+    second = Lease(LEASE_S, 0.0, first)
+    assert not second.has_expired
+    manual_clock.now_s += 2.0
+    first.grant()
+    second.record_clock(50_000)
+    manual_clock.now_s += LEASE_S
+    assert second.expires_at_s == first.expires_at_s
+    manual_clock.now_s += 0.2
+    assert second.has_expired
+
+
 def test_lease_expiry_allows_for_the_slowest_worker_clock(
     manual_clock: ManualClock,
 ) -> None:
