Drop expired leases of earlier sessions from the chain

Each reopened session of a worker kept a reference to the lease before it, for ever: with a worker whose entry flaps, the chain grew by one each 0.4 s, and after a thousand sessions the look at its expiry exceeded the recursion limit. test_leases_of_a_flapping_worker_are_not_kept_for_ever failed before.

--- a/lagoonbeam/site/lease.py
+++ b/lagoonbeam/site/lease.py
@@ -61,6 +61,8 @@
     @property
     def expires_at_s(self) -> float:
         """Local monotonic time by which all grants have expired."""
+        if self._predecessor is not None and self._predecessor.has_expired:
+            self._predecessor = None
         if self._predecessor is None:
             return self._expires_at_s
         return max(self._expires_at_s, self._predecessor.expires_at_s)
--- a/tests/site/test_lease.py
+++ b/tests/site/test_lease.py
@@ -74,6 +74,20 @@
     assert second.has_expired
 
 
+def test_leases_of_a_flapping_worker_are_not_kept_for_ever(
+    manual_clock: ManualClock,
+) -> None:
+    """A chain of a thousand sessions exceeded the recursion limit."""
+    lease = make_lease()
+    for _ in range(2_000):
+        manual_clock.now_s += 0.4
+        lease = Lease(LEASE_S, 0.0, lease)
+        lease.record_clock(50_000)
+    assert not lease.has_expired
+    manual_clock.now_s += LEASE_S + 0.2
+    assert lease.has_expired
+
+
 def test_lease_expiry_allows_for_the_slowest_worker_clock(
     manual_clock: ManualClock,
 ) -> None:
