Acknowledge no ends to a life whose ends were not read (TWICE)

A worker restarts under its name while a placement is being journaled; the start lands on the new life and is done before its next poll. That poll carried the acknowledgement of the earlier life, by which the new one forgot the end unread. The run was listed nowhere, taken as lost with the earlier life, and begun again after a done that counts as taken note of.

A life can only change at a poll that fails, so the poll after a failed one acknowledges nothing.

--- a/lagoonbeam/site/session.py
+++ b/lagoonbeam/site/session.py
@@ -189,7 +189,8 @@
         try:
             reply = await self._client.renew_leases(
                 token=self._scheduler.token,
-                acked_sequence=self._acked_sequence,
+                # After a failed poll, another incarnation may answer.
+                acked_sequence=0 if self.failed_polls else self._acked_sequence,
                 lease_deadline_ms=self._lease.grant() if is_renewing else None,
                 wait_s=0.0 if is_first else wait_s,
             )
