--- a/lagoonbeam/site/lease.py
+++ b/lagoonbeam/site/lease.py
@@ -82,15 +82,17 @@
     def record_clock(self, worker_clock_ms: int) -> None:
         """Records a reading of the worker's clock, taken just now.
 
-        The first reading also bounds leases granted in earlier terms: the
-        worker has seen this term's token and rejects older ones.
+        The first reading also extends the bound of leases granted in earlier
+        terms: their last grants may have arrived just before. It does not
+        shorten it, as a worker that restarts has seen no token.
         """
         self._worker_clock_ms = worker_clock_ms
         self._clock_read_at_s = time.monotonic()
         if not self.has_clock_reading:
             self.has_clock_reading = True
-            self._earlier_leases_expire_at_s = self._to_local_time_s(
-                worker_clock_ms + self._lease_s * 1000
+            self._earlier_leases_expire_at_s = max(
+                self._earlier_leases_expire_at_s,
+                self._to_local_time_s(worker_clock_ms + self._lease_s * 1000),
             )
 
     def grant(self) -> int:
--- a/lagoonbeam/site/scheduler.py
+++ b/lagoonbeam/site/scheduler.py
@@ -186,6 +186,8 @@
 
     def find_prior_lease_expiry_s(self, worker: str) -> float:
         """Returns when all leases of earlier terms on a worker have expired."""
+        if not self.state.tasks_by_worker.get(worker):
+            return float("-inf")
         earlier_term = self.token - 1
         last_term = self.state.lease_terms.get(worker, earlier_term)
         expires_at_s = self._follower.term_claims.find_lease_expiry_s(
--- a/tests/site/test_presumed_ends.py
+++ b/tests/site/test_presumed_ends.py
@@ -56,7 +56,7 @@
 
     async def scenario(site: WorkerSite) -> None:
         worker = site.add_worker("w1", 1, clock_rate=clock_rate)
-        lease = Lease(MAX_HOLD_MS / 1000, float("inf"))
+        lease = Lease(MAX_HOLD_MS / 1000, 0.0)
         lease.record_clock(int(worker.clock_ms))
         await anyio.sleep(reading_age_s)
         order = {"task": FIRST_RUN[0], "run": 1, "deadline_ms": lease.grant()}
--- a/tests/site/test_presumed_ends_earlier_term.py
+++ b/tests/site/test_presumed_ends_earlier_term.py
@@ -5,7 +5,9 @@
 import anyio
 import pytest
 
+from lagoonbeam.errors import ResponseLostError
 from lagoonbeam.site.records import JobCancelled, RunKey, encode_record
+from tests.site.worker_model import get_address, make_report
 from tests.site.worker_site import (
     FIRST_RUN,
     SECOND_RUN,
@@ -80,3 +82,32 @@
         assert FIRST_RUN in site.audit.presumed_ends
 
     assert play(monkeypatch, scenario).violations == []
+
+
+def test_first_reading_of_a_worker_that_restarts_bounds_no_earlier_term(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The new life has not seen the term's token and takes an older start."""
+
+    async def scenario(site: WorkerSite) -> None:
+        worker = await site.begin_slow_append(7.5)
+        site.stores["n0"].lost_calls = {"append", "read"}
+        site.add_fault(1, "hold", error=ResponseLostError("cut"))
+        directory = ModelDirectory()
+        report = make_report("w1", 11)
+        site.network.workers[get_address(report)] = worker
+        directory.reports["w1"] = report
+        await site.start_scheduler("n1", directory)
+        with anyio.fail_after(5.0):
+            while worker.life.fencing_token < 2:
+                await anyio.sleep(0.0005)
+        await anyio.sleep(0.002)
+        site.add_fault(11, error=ResponseLostError("cut"))
+        await anyio.sleep(0.5)
+        worker.restart()
+        second = site.add_worker("w2", 2)
+        directory.reports["w2"] = site.directory.reports.pop("w2")
+        await site.wait_for_begin(second, SECOND_RUN)
+        assert worker.begun == [FIRST_RUN]
+
+    assert play(monkeypatch, scenario).violations == []
