--- a/lagoonbeam/site/model.py
+++ b/lagoonbeam/site/model.py
@@ -337,12 +337,14 @@
         incarnation: Incarnation of the worker; 0 if not reported.
         running: Runs in progress.
         finished: Ended runs that were not acknowledged yet.
+        is_truncated: Whether further ended runs may be missing in `finished`.
     """
 
     clock_ms: int
     incarnation: int = 0
     running: tuple[ActiveRun, ...] = ()
     finished: tuple[FinishedRun, ...] = ()
+    is_truncated: bool = False
 
 
 def make_step_id(job_id: str, occurrence: int, step_index: int) -> str:
--- a/lagoonbeam/site/session.py
+++ b/lagoonbeam/site/session.py
@@ -254,6 +254,7 @@
             self._make_lapse(task)
             for task in self._list_placed_tasks()
             if (task.task_id, task.run) not in listed_runs
+            and not reply.is_truncated
             and self._has_begun_before(task, sent_s)
         ]
         self.incarnation = reply.incarnation
@@ -294,7 +295,8 @@
         for task in self._list_placed_tasks():
             run_key = (task.task_id, task.run)
             if (
-                self.dispatcher.is_start_pending(task)
+                reply.is_truncated
+                or self.dispatcher.is_start_pending(task)
                 or task.task_id in self.running
                 or run_key in ended_runs
                 or self.dispatcher.was_start_confirmed_after(task, sent_s)
--- a/tests/adapters/test_decoders.py
+++ b/tests/adapters/test_decoders.py
@@ -295,3 +295,11 @@
         load_instance_settings()
     with pytest.raises(SettingsError, match="IP:PORT"):
         parse_address("nine")
+
+
+def test_full_page_of_ends_is_marked_as_truncated() -> None:
+    ends = [[n, "a.0.0.0", n, "done", ""] for n in range(500)]
+    full = json.dumps({"clock_ms": 1, "finished": ends}).encode()
+    assert decode_poll_reply(full).is_truncated
+    short = json.dumps({"clock_ms": 1, "finished": ends[1:]}).encode()
+    assert not decode_poll_reply(short).is_truncated
--- a/tests/site/test_session.py
+++ b/tests/site/test_session.py
@@ -254,3 +254,37 @@
     record_placement(play.scheduler.state, unit, "w1", run=2)
     assert await play.run() == []
     assert play.client.stopped == [(unit.key, 2)]
+
+
+async def test_run_beyond_a_full_page_of_ends_is_not_taken_as_ended(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Workers list 500 ends at a time; further ones are neither listed."""
+    count = 501
+    done = [
+        FinishedRun(number + 1, f"j{number}.0.0.0", 1, RunEndReason.DONE, "")
+        for number in range(count)
+    ]
+    page = make_reply(finished=tuple(done[:500]), is_truncated=True)
+    session_run = SessionRun(
+        page, page, page, make_reply(finished=(done[500],)), tasks=count
+    )
+    scheduler = session_run.scheduler
+    record_run_ends = scheduler.record_run_ends
+    calls = 0
+
+    async def fail_at_first(
+        ends: list[RunEnd], evidence: EndEvidence | None = None
+    ) -> bool:
+        nonlocal calls
+        calls += 1
+        if calls <= 2:
+            await anyio.sleep(0.01)
+            return False
+        return await record_run_ends(ends, evidence)
+
+    monkeypatch.setattr(scheduler, "record_run_ends", fail_at_first)
+    await session_run.confirm_starts()
+    ends = await session_run.run()
+    assert (done[500].task_id, RunEndReason.LEASE_EXPIRED) not in ends
+    assert (done[500].task_id, RunEndReason.DONE) in ends
