Harm the links between instances and workers in the soak

Cause: the soak silenced workers as a whole or delayed their starts only, its workers' clock was exact, and no run outlived its lease, so that hardly any way by which a run is taken as ended without its worker was played. Change: links before the workers' addresses that lose, hold back, reset, refuse or delay calls, for all callers or by term; orders executed with their answers lost; entries that expire after three missed heartbeats; restarts behind a cut, at another address, with entries of the previous life; runs beyond a lease; drawn clock rates, kill and stop delays. All are options, off by default. The judge also counts an end that was acknowledged before the start.

--- a/harness/site.py
+++ b/harness/site.py
@@ -6,6 +6,7 @@
 import json
 import secrets
 import time
+from collections.abc import Sequence
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
@@ -37,6 +38,10 @@
         spare_worker_count: How many workers, counted from the last, are
             machines of a spare pool.
         heartbeat_s: Seconds between two entries of a worker in the store.
+        zone_count: Availability zones of the instances and workers.
+        uses_worker_links: Whether instances reach the workers through links
+            that can be harmed.
+        worker_options: Further options of the workers' stand-in.
     """
 
     instance_count: int = 3
@@ -45,6 +50,9 @@
     uses_relays: bool = False
     spare_worker_count: int = 0
     heartbeat_s: float = 0.3
+    zone_count: int = 1
+    uses_worker_links: bool = False
+    worker_options: Sequence[str] = ()
 
 
 def make_configuration(version: int, **changes: Any) -> dict[str, Any]:
@@ -127,6 +135,9 @@
             *("--rack", str(self.config.rack_size)),
             *("--spare", str(self.config.spare_worker_count)),
             *("--heartbeat-s", str(self.config.heartbeat_s)),
+            *("--zones", str(self.config.zone_count)),
+            *(["--links"] if self.config.uses_worker_links else []),
+            *self.config.worker_options,
         )
         self.wait_for_http(
             f"http://127.0.3.1:{self.worker_port}/standin/history"
@@ -293,7 +304,7 @@
         self.http_client.post(f"{self.store_url}/standin/faults", json=faults)
 
     def control_worker(self, number: int, command: str, **fields: Any) -> Any:
-        """Sends ``faults`` or ``crash`` to the stand-in of one worker."""
+        """Sends a command such as ``crash`` to the stand-in of one worker."""
         url = (
             f"http://127.0.3.{number + 1}:{self.worker_port}/standin/{command}"
         )
@@ -327,13 +338,16 @@
 
     def find_active_instance(self) -> str:
         """Returns the instance that claimed the newest term."""
-        claims = [
+        return self.find_newest_term()[1]
+
+    def find_newest_term(self) -> tuple[int, str]:
+        """Returns the newest term and the instance that claimed it."""
+        return max(
             (line["term"], name)
             for name in self.instance_names
             for line in self.read_decision_log(name)
             if line["event"] == "term.claimed"
-        ]
-        return max(claims)[1]
+        )
 
     def _make_settings(self, name: str) -> dict[str, Any]:
         host = self.get_host(name)
@@ -341,7 +355,7 @@
         return {
             "node_name": name,
             "ip": host,
-            "zone": "z1",
+            "zone": self._get_zone(name),
             "listen_addrs": {
                 "front": f"{host}:{self.front_port}",
                 "ready": f"{host}:{self.ready_port}",
@@ -353,6 +367,9 @@
             "bounds": {"max_hold_ms": LEASE_MS, "grace_s": 6},
         }
 
+    def _get_zone(self, name: str) -> str:
+        return f"z{(int(name[1:]) + 1) % max(2, self.config.zone_count)}"
+
     def _get_store_port(self, name: str) -> int:
         if not self.config.uses_relays:
             return self.store_port
--- a/harness/site_judge.py
+++ b/harness/site_judge.py
@@ -18,24 +18,33 @@
 
 
 def find_repeated_runs(history: Sequence[WorkerEvent]) -> Iterator[str]:
-    """Yields work that ran at the same time or after an acknowledged end."""
-    active: dict[str, dict[int, str]] = defaultdict(dict)
-    done: dict[str, set[int]] = defaultdict(set)
-    started_after_done: dict[str, set[int]] = defaultdict(set)
+    """Yields work that ran at the same time or after an acknowledged end.
+
+    An end counts as acknowledged whether that is before or after the start.
+    """
+    active: dict[str, dict[tuple[str, int], float]] = defaultdict(dict)
+    done: dict[str, set[tuple[str, int]]] = defaultdict(set)
+    acknowledged: dict[str, set[tuple[str, int]]] = defaultdict(set)
+    started_after: dict[str, set[tuple[str, int]]] = defaultdict(set)
     for event in sorted(history, key=lambda event: event["at_s"]):
         task, run, kind = event["task"], event["run"], event["event"]
+        run_key = (event["worker"], run)
         if kind == "started":
+            started = f"{task}: run {run} on {event['worker']}"
             if active[task]:
-                yield f"{task}: run {run} beside {active[task]}"
-            started_after_done[task] |= done[task]
-            active[task][run] = event["worker"]
+                yield f"{started} beside {active[task]} at {event['at_s']:.3f}"
+            if acknowledged[task]:
+                yield f"{started} after {acknowledged[task]} had ended"
+            started_after[task] |= done[task]
+            active[task][run_key] = event["at_s"]
         elif kind == "acknowledged done":
-            if run in started_after_done[task]:
-                yield f"{task}: started after run {run}, which was acknowledged"
+            if run_key in started_after[task]:
+                yield f"{task}: started after {run_key}, which was acknowledged"
+            acknowledged[task].add(run_key)
         elif not kind.startswith("acknowledged"):
-            active[task].pop(run, None)
+            active[task].pop(run_key, None)
             if kind == "done":
-                done[task].add(run)
+                done[task].add(run_key)
 
 
 def find_unasked_starts(
--- a/harness/site_load.py
+++ b/harness/site_load.py
@@ -56,14 +56,25 @@
         return all(status in REFUSALS for status in self.statuses)
 
 
-def draw_job(rng: random.Random) -> tuple[SubmittedJob, dict[str, Any]]:
-    """Draws a job and the body of its submission."""
+def draw_job(
+    rng: random.Random, long_fraction: float = 0.0
+) -> tuple[SubmittedJob, dict[str, Any]]:
+    """Draws a job and the body of its submission.
+
+    Args:
+        rng: Source of the draws.
+        long_fraction: Fraction of the jobs whose runs outlast a lease.
+    """
+    longest_s = 2.5
+    shortest_s = 0.1
+    if long_fraction and rng.random() < long_fraction:
+        shortest_s, longest_s = 3.0, 14.0
     job_id = f"{rng.getrandbits(64):016x}"
     gpu = rng.choice([1, 1, 2, 4])
     members = rng.choice([0, 0, 0, 2, 3])
     spec = json.dumps(
         {
-            "run_s": round(rng.uniform(0.1, 2.5), 2),
+            "run_s": round(rng.uniform(shortest_s, longest_s), 2),
             "gpu": gpu,
             "members": members,
             "job": job_id,
@@ -84,16 +95,24 @@
         urls: Base URLs of the instances' fronts.
         seed: Seed of all draws.
         interval_s: Mean time between two submissions, in seconds.
+        long_fraction: Fraction of the jobs whose runs outlast a lease.
 
     Attributes:
         jobs: All jobs submitted so far.
     """
 
-    def __init__(self, urls: Sequence[str], seed: int, interval_s: float):
+    def __init__(
+        self,
+        urls: Sequence[str],
+        seed: int,
+        interval_s: float,
+        long_fraction: float = 0.0,
+    ):
         self.jobs: list[SubmittedJob] = []
         self._urls = urls
         self._rng = random.Random(seed)
         self._interval_s = interval_s
+        self._long_fraction = long_fraction
         self._client = httpx.AsyncClient(
             timeout=CALL_TIMEOUT_S,
             trust_env=False,
@@ -134,7 +153,7 @@
             return None
 
     async def _play_job(self) -> None:
-        job, body = draw_job(self._rng)
+        job, body = draw_job(self._rng, self._long_fraction)
         self.jobs.append(job)
         await self._submit(job, body)
         if not job.is_accepted:
--- a/harness/site_soak.py
+++ b/harness/site_soak.py
@@ -17,6 +17,7 @@
 import threading
 import time
 from collections.abc import Callable
+from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
 
@@ -27,10 +28,13 @@
     find_unasked_starts,
 )
 from harness.site_load import SiteLoad
+from harness.site_worker_faults import FAULT_KINDS, WorkerFaultInjector
 
 RESTART_DELAY_S = 0.5
 FINISH_S = 30.0
 """Time after the last fault in which all accepted jobs must end."""
+LONG_FINISH_S = 90.0
+"""The same with runs that outlast a lease."""
 MALFORMED_ENTRIES = (
     b"[" * 5000 + b"]" * 5000,
     b'{"other": ' + b"[" * 5000 + b"]" * 5000 + b"}",
@@ -44,20 +48,40 @@
 )
 
 
+@dataclass(frozen=True)
+class SoakOptions:
+    """What a run plays.
+
+    Attributes:
+        seed: Seed of all draws.
+        duration_s: Time with faults, in seconds.
+        submit_interval_s: Mean time between two submissions, in seconds.
+        long_fraction: Fraction of the jobs whose runs outlast a lease.
+        worker_fault_kinds: Faults of workers and their links, of `FAULT_KINDS`.
+        plays_other_faults: Whether to play all other faults as well.
+    """
+
+    seed: int
+    duration_s: float
+    submit_interval_s: float = 0.12
+    long_fraction: float = 0.0
+    worker_fault_kinds: tuple[str, ...] = ()
+    plays_other_faults: bool = True
+
+
 class SiteSoak:
     """One run: a site, its callers, and faults drawn from a seed.
 
     Args:
         site: The running site.
-        seed: Seed of all draws.
-        duration_s: Time with faults, in seconds.
+        options: What is played.
     """
 
-    def __init__(self, site: Site, seed: int, duration_s: float):
+    def __init__(self, site: Site, options: SoakOptions):
         self._site = site
-        self._rng = random.Random(seed)
-        self._seed = seed
-        self._duration_s = duration_s
+        self._options = options
+        self._rng = random.Random(options.seed)
+        self._duration_s = options.duration_s
         self._actions: list[tuple[float, int, Callable[[], None]]] = []
         self._counter = itertools.count()
         self._stopped_names: set[str] = set()
@@ -65,6 +89,13 @@
         self._began_s = time.monotonic()
         self.own_ends: list[str] = []
         self.faults: list[str] = []
+        self._worker_faults = WorkerFaultInjector(
+            site,
+            self._rng,
+            self._after,
+            self._log_fault,
+            options.worker_fault_kinds,
+        )
 
     def run(self) -> dict[str, list[str]]:
         """Plays the run; returns the violations by rule."""
@@ -73,12 +104,19 @@
             f"http://{site.get_host(name)}:{site.front_port}"
             for name in site.instance_names
         ]
-        load = SiteLoad(urls, self._seed, interval_s=0.12)
+        options = self._options
+        load = SiteLoad(
+            urls,
+            options.seed,
+            options.submit_interval_s,
+            options.long_fraction,
+        )
+        finish_s = LONG_FINISH_S if options.long_fraction else FINISH_S
         unfinished: list[str] = []
 
         async def play_load() -> None:
             await load.run(self._duration_s)
-            open_jobs = await load.ask_for_all(FINISH_S)
+            open_jobs = await load.ask_for_all(finish_s)
             unfinished.extend(
                 f"{job.job_id}: {job.shown_states[-1:]}" for job in open_jobs
             )
@@ -127,6 +165,12 @@
             self._after(RESTART_DELAY_S, lambda name=name: self._start(name))
 
     def _draw_fault(self) -> None:
+        options = self._options
+        if options.worker_fault_kinds and (
+            not options.plays_other_faults or self._rng.random() < 0.6
+        ):
+            self._worker_faults.draw_fault()
+            return
         faults = (
             self._end_instance,
             self._end_instance,
@@ -274,6 +318,16 @@
     parser.add_argument("--duration-s", type=float, default=40.0)
     parser.add_argument("--instances", type=int, default=4)
     parser.add_argument("--workers", type=int, default=6)
+    parser.add_argument("--zones", type=int, default=1)
+    parser.add_argument("--submit-interval-s", type=float, default=0.12)
+    parser.add_argument("--long-fraction", type=float, default=0.0)
+    parser.add_argument("--slowest-clock-rate", type=float, default=1.0)
+    parser.add_argument("--kill-delay-s", type=float, default=0.0)
+    parser.add_argument("--stop-delay-s", type=float, default=0.1)
+    parser.add_argument(
+        "--worker-faults", nargs="*", default=[], choices=FAULT_KINDS
+    )
+    parser.add_argument("--only-worker-faults", action="store_true")
     parser.add_argument("--folder", type=Path, default=None)
     arguments = parser.parse_args()
     folder = arguments.folder or Path(tempfile.mkdtemp(prefix="site-soak-"))
@@ -283,9 +337,24 @@
         worker_count=arguments.workers,
         uses_relays=True,
         heartbeat_s=1.5,
+        zone_count=arguments.zones,
+        uses_worker_links=bool(arguments.worker_faults),
+        worker_options=[
+            *("--slowest-clock-rate", str(arguments.slowest_clock_rate)),
+            *("--kill-delay-s", str(arguments.kill_delay_s)),
+            *("--stop-delay-s", str(arguments.stop_delay_s)),
+        ],
+    )
+    options = SoakOptions(
+        seed=arguments.seed,
+        duration_s=arguments.duration_s,
+        submit_interval_s=arguments.submit_interval_s,
+        long_fraction=arguments.long_fraction,
+        worker_fault_kinds=tuple(arguments.worker_faults),
+        plays_other_faults=not arguments.only_worker_faults,
     )
     with Site(config, folder) as site:
-        soak = SiteSoak(site, arguments.seed, arguments.duration_s)
+        soak = SiteSoak(site, options)
         violations = soak.run()
         (folder / "faults.txt").write_text("\n".join(soak.faults))
         (folder / "history.json").write_text(
--- a/standins/platform_worker.py
+++ b/standins/platform_worker.py
@@ -5,6 +5,10 @@
 ``run_s``, ``fail`` and, for gangs, ``members``. ``GET /standin/history``
 returns the events of all runs. ``POST /standin/faults`` sets `WorkerFaults`
 of the called worker; ``POST /standin/crash`` restarts it without its runs.
+``off`` and ``on`` do so with a pause between. With ``--links``, instances
+reach the workers at ``127.0.5.N``, through a `WorkerLink` each: ``link`` sets
+its `LinkFaults`, ``on`` with ``link`` moves the worker to that address, and
+``replay`` repeats the last registration of its previous life.
 """
 
 from __future__ import annotations
@@ -24,42 +28,65 @@
 
 from standins.platform_machines import MachineInventory
 from standins.platform_worker_model import (
+    ENTRY_LIFETIME_HEARTBEATS,
     SERVICE_NAME,
     Run,
     Worker,
+    WorkerTiming,
 )
 from standins.server import run_servers
+from standins.worker_link import LinkFaults, WorkerLink
 
 _TICK_INTERVAL_S = 0.02
-_STOP_DELAY_S = 0.1
+_SPARE_ADDRESSES = 4
 
 
 class WorkerService:
     """All workers of the process and their HTTP handlers."""
 
-    def __init__(
-        self,
-        count: int,
-        rack_size: int,
-        port: int,
-        store: str,
-        spare: int = 0,
-        heartbeat_s: float = 0.3,
-    ):
-        self.port, self.store, self.heartbeat_s = port, store, heartbeat_s
+    def __init__(self, arguments: argparse.Namespace):
+        self.port, self.store = arguments.port, arguments.store
+        self.heartbeat_s = arguments.heartbeat_s
         self.history: list[dict[str, Any]] = []
+        timing = WorkerTiming(
+            slowest_clock_rate=arguments.slowest_clock_rate,
+            kill_delay_s=arguments.kill_delay_s,
+            stop_delay_s=arguments.stop_delay_s,
+        )
+        zone_size = -(-arguments.count // arguments.zones)
         self.workers = {
             f"127.0.3.{index + 1}": Worker(
-                f"w{index}", f"r{index // rack_size}", self
+                f"w{index}",
+                f"r{index // arguments.rack}",
+                self,
+                zone=f"z{(index // zone_size + 1) % arguments.zones}"
+                if arguments.zones > 1
+                else "z1",
+                timing=timing,
             )
-            for index in range(count)
+            for index in range(arguments.count)
         }
-        self.machines = MachineInventory(self, SERVICE_NAME, spare)
+        self.links = self._make_links() if arguments.links else []
+        self.machines = MachineInventory(self, SERVICE_NAME, arguments.spare)
+
+    def _make_links(self) -> list[WorkerLink]:
+        target_hosts = [*self.workers, *([None] * _SPARE_ADDRESSES)]
+        return [
+            WorkerLink(f"127.0.5.{number}", self.port, target_host)
+            for number, target_host in enumerate(target_hosts, 1)
+        ]
+
+    def _find_host(self, worker: Worker) -> str:
+        return next(h for h, each in self.workers.items() if each is worker)
+
+    def _find_links(self, worker: Worker) -> list[WorkerLink]:
+        host = self._find_host(worker)
+        return [link for link in self.links if link.target_host == host]
 
     def get_address(self, worker: Worker) -> str:
-        """Returns the host and port at which a worker listens."""
-        hosts = {w.name: host for host, w in self.workers.items()}
-        return f"{hosts[worker.name]}:{self.port}"
+        """Returns the host and port at which instances reach a worker."""
+        hosts = [link.host for link in self._find_links(worker)]
+        return f"{(hosts or [self._find_host(worker)])[0]}:{self.port}"
 
     def record_event(self, worker: Worker, run: Run, event: str) -> None:
         """Appends an event of a run to the history."""
@@ -100,6 +127,8 @@
 
     async def advance_workers(self) -> None:
         """Advances the workers and machines and renews registrations."""
+        for link in self.links:
+            await link.start()
         advanced_at_s, registered_at_s = time.monotonic(), 0.0
         async with httpx.AsyncClient(trust_env=False) as client:
             while True:
@@ -115,11 +144,23 @@
 
     async def _register_workers(self, client: httpx.AsyncClient) -> None:
         for worker in self.workers.values():
-            if worker.faults.silent:
+            is_heard = not (worker.faults.silent or worker.faults.unlisted)
+            worker.missed_heartbeats += 1
+            if is_heard:
+                worker.missed_heartbeats = 0
+            if 0 < worker.missed_heartbeats < ENTRY_LIFETIME_HEARTBEATS:
                 continue
-            url = f"{self.store}/standin/put?topic=keyed.servers"
-            body = "" if worker.is_off else json.dumps(worker.make_entry())
-            await client.post(f"{url}&key={worker.name}", content=body)
+            is_listed = is_heard and not worker.is_off
+            if is_listed:
+                worker.last_entry = json.dumps(worker.make_entry())
+            body = worker.last_entry if is_listed else ""
+            await self._put_entry(client, worker, body)
+
+    async def _put_entry(
+        self, client: httpx.AsyncClient, worker: Worker, body: str
+    ) -> None:
+        url = f"{self.store}/standin/put?topic=keyed.servers"
+        await client.post(f"{url}&key={worker.name}", content=body)
 
     async def handle_order(self, request: Request) -> Response:
         """Answers one order of a scheduler, subject to the injected faults."""
@@ -134,13 +175,20 @@
         expected = request.headers.get("x-lagoonbeam-expected-instance")
         if expected not in (None, worker.name):
             return Response(status_code=421)
-        if worker.faults.late_s and name == "run-start":
-            await asyncio.sleep(worker.faults.late_s)
-            if worker.started_ms == started_ms:
-                self._handle_start(worker, body)
-            await asyncio.sleep(3600)
+        faults = worker.faults
+        is_late = faults.late_s and (name == "run-start" or faults.late_orders)
+        if is_late:
+            await asyncio.sleep(faults.late_s)
         if worker.started_ms != started_ms:  # it crashed with the order
             await asyncio.sleep(3600)
+        response = await self._execute_order(worker, name, body)
+        if is_late or faults.lose_answers:
+            await asyncio.sleep(3600)
+        return response
+
+    async def _execute_order(
+        self, worker: Worker, name: str, body: dict[str, Any]
+    ) -> Response:
         fencing_token = body.get("fencing_token", 0)
         if fencing_token < worker.fencing_token:
             return self._answer(worker, 409, reason="fence")
@@ -161,8 +209,6 @@
         task, run = body["task"], body["run"]
         if worker.faults.unhealthy:
             return Response(status_code=503)
-        if body["fencing_token"] < worker.fencing_token:
-            return self._answer(worker, 409, reason="fence")
         if body["deadline_ms"] <= worker.clock_ms:
             return self._answer(worker, 409, reason="late")
         worker.extend_lease(body["deadline_ms"])
@@ -204,7 +250,7 @@
         task, run = body["task"], body["run"]
         current = worker.runs.get(task)
         if current is not None and current.run == run:
-            current.stop_at_s = current.stop_at_s or time.time() + _STOP_DELAY_S
+            current.stop_at_s = current.stop_at_s or worker.draw_stop_time_s()
         else:  # a start of this run that arrives later is refused
             worker.highest_ended_run[task] = max(
                 worker.highest_ended_run.get(task, 0), run
@@ -248,14 +294,58 @@
         )
         return JSONResponse({})
 
+    async def set_link_faults(self, request: Request) -> Response:
+        """Replaces the faults of the links to the called worker."""
+        worker = self.workers[request.scope["server"][0]]
+        faults = LinkFaults(**await request.json())
+        for link in self._find_links(worker):
+            await link.set_faults(faults)
+        return JSONResponse({})
+
     async def crash(self, request: Request) -> Response:
         """Restarts the called worker without its runs."""
+        was_off = self.workers[request.scope["server"][0]].is_off
+        worker = self._end_worker(request)
+        if not was_off:
+            worker.power_on()
+        return JSONResponse({})
+
+    async def power_off(self, request: Request) -> Response:
+        """Ends the called worker and its runs until it is turned on again."""
+        self._end_worker(request)
+        return JSONResponse({})
+
+    async def power_on(self, request: Request) -> Response:
+        """Starts the called worker, at the address of a link if one is given.
+
+        A worker that had that address takes the one that the called worker
+        had; it has to be off too.
+        """
+        host = request.scope["server"][0]
+        number = (await request.json()).get("link")
+        if number is not None:
+            old_links = self._find_links(self.workers[host])
+            for link in old_links:
+                link.target_host = self.links[number].target_host
+            self.links[number].target_host = host
+        self.workers[host].power_on()
+        return JSONResponse({})
+
+    async def replay_entry(self, request: Request) -> Response:
+        """Repeats the last registration of the worker's previous life."""
         worker = self.workers[request.scope["server"][0]]
-        for run in list(worker.runs.values()):
-            self.record_event(worker, run, "crashed")
-        worker.reset()
+        if worker.previous_entry:
+            async with httpx.AsyncClient(trust_env=False) as client:
+                await self._put_entry(client, worker, worker.previous_entry)
         return JSONResponse({})
 
+    def _end_worker(self, request: Request) -> Worker:
+        worker = self.workers[request.scope["server"][0]]
+        worker.power_off()
+        for link in self._find_links(worker):
+            link.end_connections()
+        return worker
+
 
 def main() -> None:
     """Starts the server."""
@@ -265,22 +355,30 @@
     parser.add_argument("--count", type=int, default=4)
     parser.add_argument("--rack", type=int, default=2)
     parser.add_argument("--spare", type=int, default=0)
+    parser.add_argument("--zones", type=int, default=1)
     parser.add_argument("--heartbeat-s", type=float, default=0.3)
+    parser.add_argument("--slowest-clock-rate", type=float, default=1.0)
+    parser.add_argument("--kill-delay-s", type=float, default=0.0)
+    parser.add_argument("--stop-delay-s", type=float, default=0.1)
+    parser.add_argument("--links", action="store_true")
     arguments = parser.parse_args()
-    service = WorkerService(
-        arguments.count,
-        arguments.rack,
-        arguments.port,
-        arguments.store,
-        arguments.spare,
-        arguments.heartbeat_s,
-    )
+    service = WorkerService(arguments)
+    commands = {
+        "faults": service.set_faults,
+        "link": service.set_link_faults,
+        "crash": service.crash,
+        "off": service.power_off,
+        "on": service.power_on,
+        "replay": service.replay_entry,
+    }
     routes = [
         *service.machines.routes(),
         Route("/lagoonbeam/{name}", service.handle_order, methods=["POST"]),
         Route("/standin/history", service.get_history),
-        Route("/standin/faults", service.set_faults, methods=["POST"]),
-        Route("/standin/crash", service.crash, methods=["POST"]),
+        *(
+            Route(f"/standin/{name}", handler, methods=["POST"])
+            for name, handler in commands.items()
+        ),
     ]
     addresses = [f"{host}:{arguments.port}" for host in service.workers]
     run_servers(Starlette(routes=routes), addresses, service.advance_workers)
--- a/standins/platform_worker_model.py
+++ b/standins/platform_worker_model.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 import time
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
@@ -11,21 +12,54 @@
 
 _GANG_ASSEMBLY_TIMEOUT_S = 3.0
 _MAX_HOLD_MS = 4_000
+_STOP_DELAY_S = 0.1
+ENTRY_LIFETIME_HEARTBEATS = 3
+"""Missed heartbeats after which a worker's entry is removed."""
 SERVICE_NAME = "compute"
 
 
 @dataclass
 class WorkerFaults:
-    """Injected faults; ``late_s`` delays starts and leaves them unanswered."""
+    """Injected faults.
+
+    Attributes:
+        silent: Leaves orders unanswered and not executed.
+        fail_all: Fails all runs.
+        unhealthy: Refuses all starts.
+        late_s: Delay after which starts are executed and left unanswered.
+        late_orders: Whether ``late_s`` applies to all orders.
+        lose_answers: Executes all orders and answers none.
+        unlisted: Sends no heartbeats to the store.
+        draining: Reports itself as draining.
+        stuck: Makes no progress.
+    """
 
     silent: bool = False
     fail_all: bool = False
     unhealthy: bool = False
     late_s: float = 0.0
+    late_orders: bool = False
+    lose_answers: bool = False
+    unlisted: bool = False
     draining: bool = False
     stuck: bool = False
 
 
+@dataclass(frozen=True)
+class WorkerTiming:
+    """Bounds of the timing that each worker draws for itself.
+
+    Attributes:
+        slowest_clock_rate: Lowest rate of a worker's steady clock.
+        kill_delay_s: Longest time from the expiry of a lease to the kill.
+        stop_delay_s: Longest time that a stop takes.
+    """
+
+    slowest_clock_rate: float = 1.0
+    kill_delay_s: float = 0.0
+    stop_delay_s: float = _STOP_DELAY_S
+
+
 @dataclass
 class Run:
     """An execution of a task on a worker, with its simulated progress."""
@@ -38,6 +72,7 @@
     work_done_s: float = 0.0
     stop_at_s: float = 0.0
     resumed_from: str = ""
+    has_lease_expired: bool = False
 
     @property
     def checkpoint(self) -> str:
@@ -58,9 +93,22 @@
 class Worker:
     """A worker with its runs, lease and injected faults."""
 
-    def __init__(self, name: str, rack: str, service: WorkerService):
+    def __init__(
+        self,
+        name: str,
+        rack: str,
+        service: WorkerService,
+        *,
+        zone: str = "z1",
+        timing: WorkerTiming | None = None,
+    ):
         self.name, self.rack, self.service = name, rack, service
+        self.zone = zone
+        self.timing = timing or WorkerTiming()
         self.faults = WorkerFaults()
+        self.missed_heartbeats = 0
+        self.last_entry = self.previous_entry = ""
+        self._rng = random.Random(name)
         self.is_off = False
         self.reset()
 
@@ -79,6 +127,13 @@
     def reset(self) -> None:
         """Drops all state, as after a restart of the process."""
         self.started_ms = int(time.time() * 1000)
+        self.previous_entry = self.last_entry or self.previous_entry
+        self.last_entry = ""
+        self._started_s = time.monotonic()
+        self._clock_rate = self._rng.uniform(
+            self.timing.slowest_clock_rate, 1.0
+        )
+        self._kill_at_s: float | None = None
         self.runs: dict[str, Run] = {}
         self.pending_ends: list[tuple[int, str, int, str, str]] = []
         self.end_count = 0
@@ -90,22 +145,55 @@
 
     @property
     def clock_ms(self) -> int:
-        """Milliseconds since the start plus 1000; lease deadlines use it."""
-        return int(time.time() * 1000) - self.started_ms + 1000
+        """Steady clock of the worker in milliseconds, 1000 at its start."""
+        elapsed_s = time.monotonic() - self._started_s
+        return int(elapsed_s * self._clock_rate * 1000) + 1000
 
     def extend_lease(self, deadline_ms: int) -> None:
-        """Extends the lease; a longer one is shortened to the maximum."""
+        """Extends the lease; a longer one is shortened to the maximum.
+
+        A lease that has expired is not revived for the runs that it covered.
+        """
+        self._check_lease()
         self.lease_deadline_ms = max(
             self.lease_deadline_ms,
             min(deadline_ms, self.clock_ms + _MAX_HOLD_MS),
         )
 
+    def draw_stop_time_s(self) -> float:
+        """Returns the wall clock time at which a stop takes effect."""
+        shortest_s = min(_STOP_DELAY_S, self.timing.stop_delay_s)
+        return time.time() + self._rng.uniform(
+            shortest_s, self.timing.stop_delay_s
+        )
+
+    def _check_lease(self) -> None:
+        """Marks the runs to be killed if the lease has expired."""
+        if self.clock_ms <= self.lease_deadline_ms:
+            return
+        self.last_lapse_end = self.end_count + 1
+        if self.runs and self._kill_at_s is None:
+            self._kill_at_s = time.monotonic() + self._rng.uniform(
+                0.0, self.timing.kill_delay_s
+            )
+            for run in self.runs.values():
+                run.has_lease_expired = True
+
+    def _kill_expired_runs(self) -> None:
+        if self._kill_at_s is None or time.monotonic() < self._kill_at_s:
+            return
+        self._kill_at_s = None
+        for run in list(self.runs.values()):
+            if run.has_lease_expired:
+                self.end_run(run, "lapsed")
+        self.last_lapse_end = self.end_count + 1
+
     def make_entry(self) -> dict[str, Any]:
         """Returns the worker's entry in the store."""
         return {
             "service": SERVICE_NAME,
             "address": self.service.get_address(self),
-            "zone": "z1",
+            "zone": self.zone,
             "version": "v1",
             "slots": 8,
             "state": "draining" if self.faults.draining else "ready",
@@ -129,16 +217,14 @@
 
     def advance(self, elapsed_s: float) -> None:
         """Advances all runs and ends those that are due."""
-        if self.clock_ms > self.lease_deadline_ms:
-            self.last_lapse_end = self.end_count + 1
+        self._check_lease()
+        self._kill_expired_runs()
         for run in list(self.runs.values()):
             if run.task not in self.runs:
                 continue
-            if self.clock_ms > self.lease_deadline_ms:
-                self.end_run(run, "lapsed")
-            elif run.stop_at_s and time.time() >= run.stop_at_s:
+            if run.stop_at_s and time.time() >= run.stop_at_s:
                 self.end_run(run, "stopped")
-            elif self.faults.stuck:
+            elif self.faults.stuck or run.has_lease_expired:
                 continue
             elif self.service.is_gang_complete(run):
                 run.work_done_s += elapsed_s
