Note the ends of runs in the soak at the time at which they were due

Cause: a stalled event loop of the workers' stand-in noticed the expiry of a lease seconds late, which the judge took for a run that went on. Change: expiry and kill are computed on the worker's clock; heartbeats run beside the advance of the runs; stalls are logged; commands in a module of their own.

--- a/harness/site.py
+++ b/harness/site.py
@@ -368,7 +368,9 @@
         }
 
     def _get_zone(self, name: str) -> str:
-        return f"z{(int(name[1:]) + 1) % max(2, self.config.zone_count)}"
+        zone_count = self.config.zone_count
+        number = int(name[1:]) + 1 if zone_count > 1 else 1
+        return f"z{number % max(2, zone_count)}"
 
     def _get_store_port(self, name: str) -> int:
         if not self.config.uses_relays:
--- a/standins/platform_worker.py
+++ b/standins/platform_worker.py
@@ -15,8 +15,8 @@
 
 import argparse
 import asyncio
-import dataclasses
 import json
+import logging
 import time
 from typing import Any
 
@@ -27,6 +27,7 @@
 from starlette.routing import Route
 
 from standins.platform_machines import MachineInventory
+from standins.platform_worker_control import WorkerControl
 from standins.platform_worker_model import (
     ENTRY_LIFETIME_HEARTBEATS,
     SERVICE_NAME,
@@ -35,10 +36,13 @@
     WorkerTiming,
 )
 from standins.server import run_servers
-from standins.worker_link import LinkFaults, WorkerLink
+from standins.worker_link import WorkerLink
 
 _TICK_INTERVAL_S = 0.02
 _SPARE_ADDRESSES = 4
+_LOGGED_STALL_S = 0.3
+
+_logger = logging.getLogger(__name__)
 
 
 class WorkerService:
@@ -79,20 +83,27 @@
     def _find_host(self, worker: Worker) -> str:
         return next(h for h, each in self.workers.items() if each is worker)
 
-    def _find_links(self, worker: Worker) -> list[WorkerLink]:
+    def find_links(self, worker: Worker) -> list[WorkerLink]:
+        """Returns the links that lead to a worker."""
         host = self._find_host(worker)
         return [link for link in self.links if link.target_host == host]
 
     def get_address(self, worker: Worker) -> str:
         """Returns the host and port at which instances reach a worker."""
-        hosts = [link.host for link in self._find_links(worker)]
+        hosts = [link.host for link in self.find_links(worker)]
         return f"{(hosts or [self._find_host(worker)])[0]}:{self.port}"
 
-    def record_event(self, worker: Worker, run: Run, event: str) -> None:
-        """Appends an event of a run to the history."""
+    def record_event(
+        self,
+        worker: Worker,
+        run: Run,
+        event: str,
+        at_s: float | None = None,
+    ) -> None:
+        """Appends an event of a run, by default one of now, to the history."""
         self.history.append(
             {
-                "at_s": time.time(),
+                "at_s": at_s or time.time(),
                 "worker": worker.name,
                 "task": run.task,
                 "run": run.run,
@@ -129,18 +140,24 @@
         """Advances the workers and machines and renews registrations."""
         for link in self.links:
             await link.start()
-        advanced_at_s, registered_at_s = time.monotonic(), 0.0
+        registrations = asyncio.create_task(self._keep_registering())
+        advanced_at_s = time.monotonic()
+        while not registrations.done():
+            now_s = time.monotonic()
+            elapsed_s, advanced_at_s = now_s - advanced_at_s, now_s
+            if elapsed_s > _LOGGED_STALL_S:
+                _logger.warning("stalled for %.2f s", elapsed_s)
+            for worker in self.workers.values():
+                worker.advance(elapsed_s)
+            self.machines.advance()
+            await asyncio.sleep(_TICK_INTERVAL_S)
+        await registrations
+
+    async def _keep_registering(self) -> None:
         async with httpx.AsyncClient(trust_env=False) as client:
             while True:
-                now_s = time.monotonic()
-                elapsed_s, advanced_at_s = now_s - advanced_at_s, now_s
-                for worker in self.workers.values():
-                    worker.advance(elapsed_s)
-                self.machines.advance()
-                if now_s - registered_at_s > self.heartbeat_s:
-                    registered_at_s = now_s
-                    await self._register_workers(client)
-                await asyncio.sleep(_TICK_INTERVAL_S)
+                await self._register_workers(client)
+                await asyncio.sleep(self.heartbeat_s)
 
     async def _register_workers(self, client: httpx.AsyncClient) -> None:
         for worker in self.workers.values():
@@ -154,11 +171,12 @@
             if is_listed:
                 worker.last_entry = json.dumps(worker.make_entry())
             body = worker.last_entry if is_listed else ""
-            await self._put_entry(client, worker, body)
+            await self.put_entry(client, worker, body)
 
-    async def _put_entry(
+    async def put_entry(
         self, client: httpx.AsyncClient, worker: Worker, body: str
     ) -> None:
+        """Writes a worker's entry in the store; an empty body removes it."""
         url = f"{self.store}/standin/put?topic=keyed.servers"
         await client.post(f"{url}&key={worker.name}", content=body)
 
@@ -189,6 +207,7 @@
     async def _execute_order(
         self, worker: Worker, name: str, body: dict[str, Any]
     ) -> Response:
+        worker.advance(0.0)
         fencing_token = body.get("fencing_token", 0)
         if fencing_token < worker.fencing_token:
             return self._answer(worker, 409, reason="fence")
@@ -282,73 +301,10 @@
             worker, running=running, finished=worker.pending_ends
         )
 
-    async def get_history(self, request: Request) -> Response:
-        """Returns the events of all runs of all workers."""
-        return JSONResponse(self.history)
-
-    async def set_faults(self, request: Request) -> Response:
-        """Sets the given faults of the called worker."""
-        worker = self.workers[request.scope["server"][0]]
-        worker.faults = dataclasses.replace(
-            worker.faults, **await request.json()
-        )
-        return JSONResponse({})
-
-    async def set_link_faults(self, request: Request) -> Response:
-        """Replaces the faults of the links to the called worker."""
-        worker = self.workers[request.scope["server"][0]]
-        faults = LinkFaults(**await request.json())
-        for link in self._find_links(worker):
-            await link.set_faults(faults)
-        return JSONResponse({})
-
-    async def crash(self, request: Request) -> Response:
-        """Restarts the called worker without its runs."""
-        was_off = self.workers[request.scope["server"][0]].is_off
-        worker = self._end_worker(request)
-        if not was_off:
-            worker.power_on()
-        return JSONResponse({})
-
-    async def power_off(self, request: Request) -> Response:
-        """Ends the called worker and its runs until it is turned on again."""
-        self._end_worker(request)
-        return JSONResponse({})
-
-    async def power_on(self, request: Request) -> Response:
-        """Starts the called worker, at the address of a link if one is given.
-
-        A worker that had that address takes the one that the called worker
-        had; it has to be off too.
-        """
-        host = request.scope["server"][0]
-        number = (await request.json()).get("link")
-        if number is not None:
-            old_links = self._find_links(self.workers[host])
-            for link in old_links:
-                link.target_host = self.links[number].target_host
-            self.links[number].target_host = host
-        self.workers[host].power_on()
-        return JSONResponse({})
-
-    async def replay_entry(self, request: Request) -> Response:
-        """Repeats the last registration of the worker's previous life."""
-        worker = self.workers[request.scope["server"][0]]
-        if worker.previous_entry:
-            async with httpx.AsyncClient(trust_env=False) as client:
-                await self._put_entry(client, worker, worker.previous_entry)
-        return JSONResponse({})
-
-    def _end_worker(self, request: Request) -> Worker:
-        worker = self.workers[request.scope["server"][0]]
-        worker.power_off()
-        for link in self._find_links(worker):
-            link.end_connections()
-        return worker
-
 
 def main() -> None:
     """Starts the server."""
+    logging.basicConfig(format="%(asctime)s %(message)s")
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--port", type=int, required=True)
     parser.add_argument("--store", required=True)
@@ -363,22 +319,10 @@
     parser.add_argument("--links", action="store_true")
     arguments = parser.parse_args()
     service = WorkerService(arguments)
-    commands = {
-        "faults": service.set_faults,
-        "link": service.set_link_faults,
-        "crash": service.crash,
-        "off": service.power_off,
-        "on": service.power_on,
-        "replay": service.replay_entry,
-    }
     routes = [
         *service.machines.routes(),
         Route("/lagoonbeam/{name}", service.handle_order, methods=["POST"]),
-        Route("/standin/history", service.get_history),
-        *(
-            Route(f"/standin/{name}", handler, methods=["POST"])
-            for name, handler in commands.items()
-        ),
+        *WorkerControl(service).routes(),
     ]
     addresses = [f"{host}:{arguments.port}" for host in service.workers]
     run_servers(Starlette(routes=routes), addresses, service.advance_workers)
--- a/standins/platform_worker_model.py
+++ b/standins/platform_worker_model.py
@@ -169,23 +169,29 @@
 
     def _check_lease(self) -> None:
         """Marks the runs to be killed if the lease has expired."""
-        if self.clock_ms <= self.lease_deadline_ms:
+        clock_ms = self.clock_ms
+        if clock_ms <= self.lease_deadline_ms:
             return
         self.last_lapse_end = self.end_count + 1
         if self.runs and self._kill_at_s is None:
-            self._kill_at_s = time.monotonic() + self._rng.uniform(
-                0.0, self.timing.kill_delay_s
+            expired_s = (
+                (clock_ms - self.lease_deadline_ms) / 1000 / self._clock_rate
+            )
+            self._kill_at_s = (
+                time.time()
+                - expired_s
+                + self._rng.uniform(0.0, self.timing.kill_delay_s)
             )
             for run in self.runs.values():
                 run.has_lease_expired = True
 
     def _kill_expired_runs(self) -> None:
-        if self._kill_at_s is None or time.monotonic() < self._kill_at_s:
+        if self._kill_at_s is None or time.time() < self._kill_at_s:
             return
-        self._kill_at_s = None
+        at_s, self._kill_at_s = self._kill_at_s, None
         for run in list(self.runs.values()):
             if run.has_lease_expired:
-                self.end_run(run, "lapsed")
+                self.end_run(run, "lapsed", max(at_s, run.started_at_s))
         self.last_lapse_end = self.end_count + 1
 
     def make_entry(self) -> dict[str, Any]:
@@ -203,8 +209,16 @@
             "drain_remaining_ms": 2500 if self.faults.draining else 0,
         }
 
-    def end_run(self, run: Run, outcome: str) -> None:
-        """Ends a run and queues its end until it is acknowledged."""
+    def end_run(
+        self, run: Run, outcome: str, at_s: float | None = None
+    ) -> None:
+        """Ends a run and queues its end until it is acknowledged.
+
+        Args:
+            run: The run.
+            outcome: How it ended.
+            at_s: When it ended, if the stand-in was late to notice.
+        """
         del self.runs[run.task]
         self.end_count += 1
         self.pending_ends.append(
@@ -213,7 +227,7 @@
         self.highest_ended_run[run.task] = max(
             self.highest_ended_run.get(run.task, 0), run.run
         )
-        self.service.record_event(self, run, outcome)
+        self.service.record_event(self, run, outcome, at_s)
 
     def advance(self, elapsed_s: float) -> None:
         """Advances all runs and ends those that are due."""
@@ -223,11 +237,12 @@
             if run.task not in self.runs:
                 continue
             if run.stop_at_s and time.time() >= run.stop_at_s:
-                self.end_run(run, "stopped")
+                self.end_run(run, "stopped", run.stop_at_s)
             elif self.faults.stuck or run.has_lease_expired:
                 continue
             elif self.service.is_gang_complete(run):
-                run.work_done_s += elapsed_s
+                now_s = time.time()
+                run.work_done_s += min(elapsed_s, now_s - run.started_at_s)
                 if self.faults.fail_all or run.spec.get("fail"):
                     self.service.end_gang(run, self, "failed")
                 elif run.work_done_s >= run.work_s:
