Test the soak's links, and exempt starts that workers executed late

Change: the stand-in marks starts that it executed late, and the judge doesn't hold them to the time after a cancellation. Run: make lint; tests/test_worker_link.py and tests/test_site_soak.py, passed.

--- a/standins/platform_worker_model.py
+++ b/standins/platform_worker_model.py
@@ -72,6 +72,7 @@
     work_done_s: float = 0.0
     stop_at_s: float = 0.0
     resumed_from: str = ""
+    is_start_late: bool = False
     has_lease_expired: bool = False
 
     @property
--- a/standins/worker_link.py
+++ b/standins/worker_link.py
@@ -112,11 +112,15 @@
             return
         connection = _LinkConnection(writer, worker_writer)
         self._connections.append(connection)
-        await asyncio.gather(
-            self._forward_requests(connection, reader),
-            self._forward_answers(connection, worker_reader),
-        )
-        self._connections.remove(connection)
+        try:
+            await asyncio.gather(
+                self._forward_requests(connection, reader),
+                self._forward_answers(connection, worker_reader),
+            )
+        finally:
+            connection.client.transport.abort()
+            connection.worker.transport.abort()
+            self._connections.remove(connection)
 
     async def _forward_requests(
         self, connection: _LinkConnection, reader: asyncio.StreamReader
--- a/tests/test_site_soak.py
+++ b/tests/test_site_soak.py
@@ -68,6 +68,25 @@
     assert list(find_repeated_runs([*history, last_event]))
 
 
+def test_judge_sees_start_after_acknowledged_end() -> None:
+    history = [
+        make_event(1.0, 1, "started"),
+        make_event(2.0, 1, "done"),
+        make_event(2.5, 1, "acknowledged done"),
+    ]
+    assert not list(find_repeated_runs(history))
+    history.append(make_event(3.0, 2, "started"))
+    assert list(find_repeated_runs(history))
+
+
+def test_judge_tells_runs_with_one_number_apart() -> None:
+    history = [
+        make_event(1.0, 1, "started"),
+        make_event(2.0, 1, "lapsed", worker="w1"),
+    ]
+    assert list(find_repeated_runs([*history, make_event(3.0, 2, "started")]))
+
+
 def test_judge_sees_work_that_nobody_asked_for() -> None:
     history = [make_event(9.0, 1, "started")]
     job = make_submitted_job(503, 200)
@@ -78,6 +97,8 @@
     assert list(find_unasked_starts(history, [make_submitted_job(503)]))
     job.cancelled_at_s = 5.0
     assert list(find_unasked_starts(history, [job]))
+    late_start = make_event(9.0, 1, "started", is_late=True)
+    assert not list(find_unasked_starts([late_start], [job]))
 
 
 @pytest.mark.parametrize("state", ["failed", "cancelled", "completed"])
