--- a/tests/adapters/test_decoders.py
+++ b/tests/adapters/test_decoders.py
@@ -4,6 +4,7 @@
 
 import json
 
+import anyio
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
@@ -292,6 +293,6 @@
 ) -> None:
     monkeypatch.setenv("LAGOONBEAM_BOOT", "/nowhere.yaml")
     with pytest.raises(SettingsError, match="nowhere"):
-        load_instance_settings()
+        anyio.run(load_instance_settings)
     with pytest.raises(SettingsError, match="IP:PORT"):
         parse_address("nine")
