--- a/harness/presumed_end_mutations.py
+++ b/harness/presumed_end_mutations.py
@@ -84,9 +84,9 @@
     Mutation(
         "site: an entry of another writer closes no answering session",
         "lagoonbeam/site/fleet.py",
-        "            session.is_answering and session.incarnation"
-        " != report.incarnation",
-        "            False",
+        "            session.incarnation != report.incarnation\n"
+        "            or _has_moved(report, session.report)\n",
+        "            False\n",
         f"{_TESTS}replaced_entry.py"
         "::test_entry_of_another_writer_does_not_cut_off_an_answering_worker",
     ),
@@ -98,6 +98,43 @@
         "tests/site/test_journal_appender.py"
         "::test_repeated_append_is_confirmed_from_its_first_sending",
     ),
+    Mutation(
+        "site: failed polls end no start that is being journaled",
+        "lagoonbeam/site/session.py",
+        "            for task in self._list_placed_tasks()\n"
+        "            if not self.dispatcher.is_start_pending(task)\n"
+        "        ]",
+        "            for task in self._list_placed_tasks()\n        ]",
+        f"{_TESTS}slow_or_moved_worker.py"
+        "::test_start_being_journaled_is_not_ended_by_failed_polls",
+    ),
+    Mutation(
+        "site: an earlier term's runs have time to be stopped",
+        "lagoonbeam/site/scheduler.py",
+        "expires_at_s + self._time_limits.stop_timeout_s",
+        "expires_at_s",
+        f"{_TESTS}slow_or_moved_worker.py"
+        "::test_run_of_an_earlier_term_that_is_slow_to_kill_ends_before"
+        "_its_record",
+    ),
+    Mutation(
+        "site: a poll after a failed one acknowledges nothing",
+        "lagoonbeam/site/session.py",
+        "0 if self.failed_polls else self._acked_sequence",
+        "self._acked_sequence",
+        "tests/site/test_acknowledged_ends.py"
+        "::test_end_on_a_restarted_worker_is_not_acknowledged_unread",
+    ),
+    Mutation(
+        "site: a reading of a worker's clock shortens no wait",
+        "lagoonbeam/site/lease.py",
+        "                self._earlier_leases_expire_at_s,\n"
+        "                self._to_local",
+        "                self._to_local",
+        f"{_TESTS}earlier_term.py"
+        "::test_first_reading_of_a_worker_that_restarts_bounds_no_earlier"
+        "_term",
+    ),
     Mutation(
         "site: a worker has time to stop its runs after their lease",
         "lagoonbeam/site/lease.py",
--- a/lagoonbeam/site/fleet.py
+++ b/lagoonbeam/site/fleet.py
@@ -181,7 +181,10 @@
             report = reports.get(name)
             if report is None:
                 session.is_listed = False
-            elif report.incarnation == session.report.incarnation:
+            elif (
+                report.incarnation == session.report.incarnation
+                and not _has_moved(report, session.report)
+            ):
                 session.update_report(report)
             else:
                 self._handle_changed_entry(session, report)
@@ -194,8 +197,9 @@
         A worker that has restarted answers as the incarnation of the entry, or
         no longer answers at the address it had.
         """
-        is_stale = (
-            session.is_answering and session.incarnation != report.incarnation
+        is_stale = session.is_answering and (
+            session.incarnation != report.incarnation
+            or _has_moved(report, session.report)
         )
         if not is_stale or session.is_listed:
             self._decisions.emit(
@@ -243,3 +247,8 @@
         finally:
             if self.sessions.get(session.worker) is session:
                 del self.sessions[session.worker]
+
+
+def _has_moved(report: WorkerReport, known: WorkerReport) -> bool:
+    """Whether a report names another address than the known one."""
+    return (report.host, report.port) != (known.host, known.port)
--- a/lagoonbeam/site/run_dispatcher.py
+++ b/lagoonbeam/site/run_dispatcher.py
@@ -152,6 +152,9 @@
             )
         except UnavailableError as error:
             outcome = f"in doubt: {error}"
+        except Exception as error:
+            # A worker that cannot be talked to must not end the scheduler.
+            outcome = f"in doubt: {error!r}"
         finally:
             self._pending_starts.discard((placement.task_id, placement.run))
             outcome_label = outcome.partition(":")[0]
