--- a/tests/site/test_presumed_ends.py
+++ b/tests/site/test_presumed_ends.py
@@ -5,6 +5,7 @@
 import anyio
 import pytest
 
+from lagoonbeam.errors import ServerUnreachableError
 from lagoonbeam.site.lease import Lease
 from tests.site.worker_model import MAX_HOLD_MS
 from tests.site.worker_site import (
@@ -47,6 +48,24 @@
     assert audit.violations == []
 
 
+@pytest.mark.parametrize("delay_s", [0.0, 1.5])
+def test_poll_without_an_answer_counts_as_a_renewal(
+    monkeypatch: pytest.MonkeyPatch, delay_s: float
+) -> None:
+    async def scenario(site: WorkerSite) -> None:
+        worker = await site.run_on_first_worker(clock_rate=0.98)
+        second = site.add_worker("w2", 2)
+        held_until_ms = worker.life.deadline_ms
+        site.add_fault(1, "hold", delay_s=delay_s, count=1)
+        site.add_fault(1, error=ServerUnreachableError("refused"))
+        await site.wait_for_begin(second, SECOND_RUN)
+        assert worker.life.deadline_ms > held_until_ms
+
+    audit = play(monkeypatch, scenario)
+    assert FIRST_RUN in audit.presumed_ends
+    assert audit.violations == []
+
+
 @pytest.mark.parametrize("clock_rate", [0.98, 1.0, 1.02])
 @pytest.mark.parametrize("reading_age_s", [0.0, 0.5, 4.0])
 def test_lease_expires_only_after_its_worker_has_killed_its_runs(
--- a/tests/site/test_presumed_ends_earlier_term.py
+++ b/tests/site/test_presumed_ends_earlier_term.py
@@ -27,11 +27,13 @@
 
 
 @pytest.mark.parametrize("clock_rate", [0.98, 1.0])
+@pytest.mark.parametrize("cut_after_s", [0.0, 0.25, 0.5, 0.75])
 def test_run_renewed_by_a_cut_off_term_lapses_before_its_end(
-    monkeypatch: pytest.MonkeyPatch, clock_rate: float
+    monkeypatch: pytest.MonkeyPatch, clock_rate: float, cut_after_s: float
 ) -> None:
     async def scenario(site: WorkerSite) -> None:
         await site.run_on_first_worker(clock_rate=clock_rate)
+        await anyio.sleep(cut_after_s)
         site.stores["n0"].lost_calls = {"append", "read"}
         await claim_without_first_worker(site)
 
--- a/tests/site/worker_model.py
+++ b/tests/site/worker_model.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import json
-from collections.abc import Sequence
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -339,7 +338,3 @@
 
 def get_address(report: WorkerReport) -> Address:
     return report.host, report.port
-
-
-def list_running(workers: Sequence[WorkerModel]) -> list[RunKey]:
-    return [key for worker in workers for key in worker.list_running()]
