Test that a cancelled start is not counted as started

Fails: the outcome of a start is 'started' until an error replaces it, so that a start cancelled with its term is logged and counted as started though no worker got it (2 counted, 1 begun).

--- a/tests/site/test_presumed_ends_earlier_term.py
+++ b/tests/site/test_presumed_ends_earlier_term.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import re
+
 import anyio
 import pytest
 
@@ -61,29 +63,46 @@
     assert audit.violations == []
 
 
+async def confirm_by_late_read(site: WorkerSite) -> None:
+    """Plays a placement whose record is read with the newer claim."""
+    record = encode_record(JobCancelled("f" * 16))
+
+    def lose_reads() -> None:
+        site.store.before_placement = lambda: None
+        site.store.records.append(record)
+        site.stores["n0"].lost_calls = {"append", "read"}
+
+    site.store.before_placement = lose_reads
+    worker = await site.begin_slow_append(0.0)
+    site.tasks.start_soon(claim_without_first_worker, site)
+    await anyio.sleep(8.0)
+    assert not worker.begun
+    site.stores["n0"].lost_calls = {"append"}
+    await anyio.sleep(30.0)
+    assert FIRST_RUN in site.audit.presumed_ends
+
+
 def test_start_after_a_late_read_of_the_journal_lapses_before_its_end(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """The read that ends the wait for the placement also shows the claim."""
+    assert play(monkeypatch, confirm_by_late_read).violations == []
 
-    async def scenario(site: WorkerSite) -> None:
-        record = encode_record(JobCancelled("f" * 16))
-
-        def lose_reads() -> None:
-            site.store.before_placement = lambda: None
-            site.store.records.append(record)
-            site.stores["n0"].lost_calls = {"append", "read"}
-
-        site.store.before_placement = lose_reads
-        worker = await site.begin_slow_append(0.0)
-        site.tasks.start_soon(claim_without_first_worker, site)
-        await anyio.sleep(8.0)
-        assert not worker.begun
-        site.stores["n0"].lost_calls = {"append"}
-        await anyio.sleep(30.0)
-        assert FIRST_RUN in site.audit.presumed_ends
 
-    assert play(monkeypatch, scenario).violations == []
+def test_cancelled_start_is_not_counted_as_started(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def scenario(site: WorkerSite) -> None:
+        await confirm_by_late_read(site)
+        begun = [key for worker in site.audit.workers for key in worker.begun]
+        assert begun == [SECOND_RUN]
+        rendered = site.decisions.metrics.render().decode()
+        (started,) = re.findall(
+            r'starts_total{outcome="started"} (\S+)', rendered
+        )
+        assert float(started) == len(begun)
+
+    play(monkeypatch, scenario)
 
 
 def test_first_reading_of_a_worker_that_restarts_bounds_no_earlier_term(
