Mark starts that a silent stand-in worker held back as late

The stand-in marked only those that it delayed itself. An order that is held for longer than its caller waits is now marked too.

--- a/standins/platform_worker.py
+++ b/standins/platform_worker.py
@@ -39,6 +39,8 @@
 from standins.worker_link import WorkerLink
 
 _TICK_INTERVAL_S = 0.02
+_CALLER_TIMEOUT_S = 1.0
+"""Time after which a caller no longer waits for the answer to an order."""
 _SPARE_ADDRESSES = 4
 _LOGGED_STALL_S = 0.3
 
@@ -185,8 +187,10 @@
         """Answers one order of a scheduler, subject to the injected faults."""
         worker = self.workers[request.scope["server"][0]]
         started_ms = worker.started_ms
+        received_s = time.monotonic()
         while worker.faults.silent or worker.is_off:
             await asyncio.sleep(_TICK_INTERVAL_S)
+        is_held = time.monotonic() - received_s > _CALLER_TIMEOUT_S
         body = await request.json()
         name = request.path_params["name"]
         if name == "advise":
@@ -201,7 +205,7 @@
         if worker.started_ms != started_ms:  # it crashed with the order
             await asyncio.sleep(3600)
         response = await self._execute_order(
-            worker, name, body, is_late=bool(is_late)
+            worker, name, body, is_late=bool(is_late) or is_held
         )
         if is_late or faults.lose_answers:
             await asyncio.sleep(3600)
