--- a/harness/incident_mutations.py
+++ b/harness/incident_mutations.py
@@ -9,6 +9,7 @@
         "site: ends listed after a restart count",
         "lagoonbeam/site/session.py",
         "            if (task.task_id, task.run) not in listed_runs\n"
+        "            and not reply.is_truncated\n"
         "            and self._has_begun_before(task, sent_s)",
         "            if True",
         "tests/site/test_session.py"
