--- a/harness/presumed_end_mutations.py
+++ b/harness/presumed_end_mutations.py
@@ -68,9 +68,9 @@
     Mutation(
         "site: a stop counts for the life that confirmed it",
         "lagoonbeam/site/run_dispatcher.py",
-        "            if restart_count == self._restart_count:",
+        "            if token == self._fence.token:",
         "            if True:",
-        f"{_TESTS}restarted_worker.py"
+        "tests/site/test_session.py"
         "::test_stop_answered_by_an_earlier_life_is_not_confirmed",
     ),
     Mutation(
@@ -103,8 +103,8 @@
         "lagoonbeam/site/session.py",
         "            for task in self._list_placed_tasks()\n"
         "            if not self.dispatcher.is_start_pending(task)\n"
-        "        ]",
-        "            for task in self._list_placed_tasks()\n        ]",
+        "            and",
+        "            for task in self._list_placed_tasks()\n            if",
         f"{_TESTS}slow_or_moved_worker.py"
         "::test_start_being_journaled_is_not_ended_by_failed_polls",
     ),
@@ -143,4 +143,36 @@
         "tests/site/test_lease.py"
         "::test_lease_is_over_only_after_the_worker_had_time_to_stop_its_runs",
     ),
+    Mutation(
+        "site: a restarted worker refuses the orders to its earlier life",
+        "lagoonbeam/site/unconfirmed_orders.py",
+        "            self.token += 1\n",
+        "            pass\n",
+        "tests/site/test_late_starts.py"
+        "::test_late_poll_does_not_acknowledge_ends_of_a_restarted_worker",
+    ),
+    Mutation(
+        "site: a start without an answer is repeated at its worker",
+        "lagoonbeam/site/session.py",
+        "            if self._may_repeat_start(task) and",
+        "            if False and",
+        "tests/site/test_late_starts.py"
+        "::test_start_without_an_answer_is_repeated_at_the_same_worker",
+    ),
+    Mutation(
+        "site: a stopped start is not ended while it may arrive",
+        "lagoonbeam/site/session.py",
+        "            elif not self.dispatcher.may_start_after(task, sent_s):",
+        "            else:",
+        "tests/site/test_late_starts.py"
+        "::test_stopped_late_start_on_a_restarted_worker_does_not_run_twice",
+    ),
+    Mutation(
+        "site: a late start outlasts the leases of a lost worker",
+        "lagoonbeam/site/unconfirmed_orders.py",
+        "time.monotonic() <= leases_expire_at_s + self._max_delay_s",
+        "time.monotonic() <= leases_expire_at_s",
+        "tests/site/test_late_starts.py"
+        "::test_start_without_an_answer_outlasts_the_lease_of_a_lost_worker",
+    ),
 ]
--- a/lagoonbeam/site/fleet.py
+++ b/lagoonbeam/site/fleet.py
@@ -23,6 +23,7 @@
 from lagoonbeam.site.records import RunKey
 from lagoonbeam.site.scheduler_callbacks import SchedulerCallbacks
 from lagoonbeam.site.session import WorkerSession
+from lagoonbeam.site.unconfirmed_orders import UnansweredStarts, WorkerFence
 from lagoonbeam.types import ZoneName
 
 DIRECTORY_POLL_S = 0.4
@@ -46,6 +47,8 @@
         scheduler: The scheduler, which the sessions report to.
         lease_s: Duration of each lease, in seconds.
         stop_timeout_s: Longest time that a worker takes to stop a run.
+        order_delay_s: Longest time after which a worker carries out an order
+            that got no answer.
         decisions: The decision log.
         zone_evacuations: Zones that operators evacuate; None if the platform
             has no such requests.
@@ -56,6 +59,7 @@
         health: Failures and quarantines of the workers.
         pending_starts: Runs whose start is being journaled or has not been
             answered yet; kept here, as sessions may be replaced meanwhile.
+        unanswered_starts: Starts that got no answer.
     """
 
     def __init__(
@@ -66,12 +70,14 @@
         *,
         lease_s: float,
         stop_timeout_s: float = 0.0,
+        order_delay_s: float = 0.0,
         decisions: DecisionLog,
         zone_evacuations: ZoneEvacuations | None = None,
     ):
         self.sessions: dict[str, WorkerSession] = {}
         self.evacuations: set[str] = set()
         self.pending_starts: set[RunKey] = set()
+        self.unanswered_starts = UnansweredStarts(order_delay_s)
         self.health = WorkerHealthTracker(
             time.monotonic,
             failure_threshold=QUARANTINE_FAILURE_STREAK,
@@ -86,6 +92,7 @@
         self._decisions = decisions
         self._zone_evacuations = zone_evacuations
         self._lease_grants: dict[str, LeaseGrants] = defaultdict(LeaseGrants)
+        self._fences: dict[str, WorkerFence] = {}
         self._evacuated_zones: frozenset[ZoneName] = frozenset()
         self._dependency_monitor = DependencyMonitor(
             "list of workers", decisions
@@ -223,12 +230,17 @@
             self._lease_grants[report.worker],
             stop_timeout_s=self._stop_timeout_s,
         )
+        fence = self._fences.setdefault(
+            report.worker, WorkerFence(self._scheduler.token)
+        )
         session = WorkerSession(
             report,
             self._connector.connect(report),
             self._scheduler,
             lease=lease,
+            fence=fence,
             pending_starts=self.pending_starts,
+            unanswered_starts=self.unanswered_starts,
             decisions=self._decisions,
         )
         self.sessions[report.worker] = session
--- a/lagoonbeam/site/journal_appender.py
+++ b/lagoonbeam/site/journal_appender.py
@@ -28,6 +28,7 @@
 )
 from lagoonbeam.site.platform_interface import JournalStore, JournalWriter
 from lagoonbeam.site.records import Record, TermClaimed, encode_record
+from lagoonbeam.site.unconfirmed_orders import get_next_term
 from lagoonbeam.types import Offset
 
 BATCH_LINGER_S = 0.002
@@ -251,7 +252,7 @@
         The writer of the term and the sequence number of its next append, or
         None if another instance claimed the term or the store failed.
     """
-    term = follower.state.term.number + 1
+    term = get_next_term(follower.state.term.number)
     writer = JournalWriter(writer_name, term)
     record = TermClaimed(term, instance, incarnation)
     sequence = secrets.randbelow(FIRST_SEQUENCE_RANGE)
--- a/lagoonbeam/site/run_dispatcher.py
+++ b/lagoonbeam/site/run_dispatcher.py
@@ -6,7 +6,12 @@
 
 import anyio.abc
 
-from lagoonbeam.errors import FencedError, LagoonbeamError, UnavailableError
+from lagoonbeam.errors import (
+    FencedError,
+    LagoonbeamError,
+    ServerUnreachableError,
+    UnavailableError,
+)
 from lagoonbeam.site.decision_log import DecisionLog
 from lagoonbeam.site.events import Event
 from lagoonbeam.site.jobs import Task
@@ -19,7 +24,10 @@
 )
 from lagoonbeam.site.records import Placement, RunEnd, RunKey
 from lagoonbeam.site.scheduler_callbacks import SchedulerCallbacks
+from lagoonbeam.site.unconfirmed_orders import UnansweredStarts, WorkerFence
 
+START_RETRY_S = 0.5
+"""Time after which a start without an answer is repeated."""
 STOP_RETRY_S = 1.5
 """Time after which a stop command is repeated; longer than a stop takes."""
 UNANSWERED_STOP_RETRY_S = 0.2
@@ -40,9 +48,11 @@
         worker: The worker's name.
         client: Sends commands to the worker.
         lease: The lease that covers all runs on the worker.
+        fence: Holds the fencing token.
         scheduler: The active scheduler.
         pending_starts: Runs, of all workers, whose start is being journaled or
             has not been answered yet; shared by all sessions of the term.
+        unanswered_starts: Starts that got no answer, likewise.
         decisions: The decision log.
 
     Attributes:
@@ -54,21 +64,25 @@
         worker: str,
         client: WorkerClient,
         lease: Lease,
+        fence: WorkerFence,
         scheduler: SchedulerCallbacks,
         pending_starts: set[RunKey],
+        unanswered_starts: UnansweredStarts,
         decisions: DecisionLog,
     ):
         self._worker = worker
         self._client = client
         self._lease = lease
+        self._fence = fence
         self._scheduler = scheduler
         self._decisions = decisions
         self._created_at_s = time.monotonic()
         self._pending_starts = pending_starts
+        self._unanswered_starts = unanswered_starts
         self._start_confirmed_at_s: dict[RunKey, float] = {}
         self._stop_retry_at_s: dict[RunKey, float] = {}
         self._stop_confirmed_at_s: dict[RunKey, float] = {}
-        self._restart_count = 0
+        self._start_retry_at_s: dict[RunKey, float] = {}
         self.task_group: anyio.abc.TaskGroup | None = None
 
     def is_start_pending(self, task: Task) -> bool:
@@ -93,6 +107,42 @@
             self._stop_confirmed_at_s.get((task_id, run), float("inf")) < time_s
         )
 
+    def may_have_begun(self, task: Task, incarnation: int) -> bool:
+        """Whether a run that the worker no longer lists may have executed.
+
+        Args:
+            task: The task.
+            incarnation: The incarnation that does not list the run.
+        """
+        placement = task.placement
+        return (task.task_id, task.run) in self._start_confirmed_at_s or (
+            placement is not None and placement.incarnation != incarnation
+        )
+
+    def may_start_after(self, task: Task, time_s: float) -> bool:
+        """Whether a start without an answer may be executed after a time.
+
+        Not asked of jobs that have ended, as they get no other run.
+        """
+        return task.unit.job.is_open and (
+            self._unanswered_starts.may_arrive_after(
+                (task.task_id, task.run), time_s
+            )
+        )
+
+    def may_repeat_start(self, task: Task) -> bool:
+        """Whether a start was neither confirmed nor followed by a stop."""
+        run_key = (task.task_id, task.run)
+        return (
+            run_key not in self._start_confirmed_at_s
+            and run_key not in self._stop_retry_at_s
+        )
+
+    def is_start_repeat_due(self, task: Task) -> bool:
+        """Whether enough time has passed since the last start of a run."""
+        retry_at_s = self._start_retry_at_s.get((task.task_id, task.run), 0.0)
+        return time.monotonic() >= retry_at_s
+
     def get_elapsed_s(self, task: Task) -> float:
         """Returns the time since a task's run was started.
 
@@ -112,9 +162,23 @@
         return min(elapsed_s, CHECKPOINT_LOSS_S)
 
     async def start_run(
-        self, task: Task, placement: Placement, ticket: str
+        self,
+        task: Task,
+        placement: Placement,
+        ticket: str,
+        *,
+        is_repeat: bool = False,
     ) -> None:
-        """Sends the start command for a placement that has been journaled."""
+        """Sends the start command for a placement that has been journaled.
+
+        Args:
+            task: The task.
+            placement: Its placement.
+            ticket: Admission ticket from the advice service; empty for none.
+            is_repeat: Whether the command was sent before and got no answer.
+                The run is then not ended by a refusal, as the other copy may
+                be executed later.
+        """
         order = StartOrder(
             placement.task_id,
             placement.run,
@@ -123,6 +187,8 @@
             ticket,
         )
         outcome = "not answered"
+        run_key = (placement.task_id, placement.run)
+        token = self._fence.token
         try:
             if not self._lease.has_clock_reading:
                 raise StartNotSentError("the worker's clock was not read yet")
@@ -130,33 +196,36 @@
                 raise StartNotSentError("no append was confirmed for too long")
             await self._client.start(
                 order,
-                token=self._scheduler.token,
+                token=token,
                 lease_deadline_ms=self._lease.grant(),
             )
-            self._start_confirmed_at_s[placement.task_id, placement.run] = (
-                time.monotonic()
-            )
+            self._start_confirmed_at_s[run_key] = time.monotonic()
             outcome = "started"
         except FencedError:
             outcome = "refused: fence"
-            self._scheduler.lose_term(
-                f"worker {self._worker} has a newer token"
-            )
+            self._lose_term_if_current(token)
+            await self._handle_refusal(task, placement, "fence", is_repeat)
         except StartNotSentError as error:
             outcome = f"not sent: {error}"
-            await self._end_unstarted(task, placement, EndEvidence.NOT_SENT)
+            if not is_repeat:
+                await self._end_unstarted(task, placement, EndEvidence.NOT_SENT)
         except StartRefusedError as refusal:
             outcome = f"refused: {refusal.reason}"
-            await self._end_unstarted(
-                task, placement, EndEvidence.START_REFUSED
+            await self._handle_refusal(
+                task, placement, refusal.reason, is_repeat
             )
+        except ServerUnreachableError as error:
+            outcome = f"not sent: {error}"
         except UnavailableError as error:
             outcome = f"in doubt: {error}"
+            self._unanswered_starts.record(run_key)
         except Exception as error:
             # A worker that cannot be talked to must not end the scheduler.
             outcome = f"in doubt: {error!r}"
+            self._unanswered_starts.record(run_key)
         finally:
-            self._pending_starts.discard((placement.task_id, placement.run))
+            self._start_retry_at_s[run_key] = time.monotonic() + START_RETRY_S
+            self._pending_starts.discard(run_key)
             outcome_label = outcome.partition(":")[0]
             self._decisions.metrics.starts.labels(outcome_label).inc()
             self._decisions.emit(
@@ -165,7 +234,30 @@
                 run=placement.run,
                 worker=self._worker,
                 term=self._scheduler.token,
+                token=token,
                 outcome=outcome,
+                repeated=is_repeat,
+            )
+
+    async def _handle_refusal(
+        self, task: Task, placement: Placement, reason: str, is_repeat: bool
+    ) -> None:
+        if not is_repeat:
+            await self._end_unstarted(
+                task, placement, EndEvidence.START_REFUSED
+            )
+        elif reason != "unhealthy":
+            self._scheduler.on_start_refused(self._worker, task)
+
+    def _lose_term_if_current(self, token: int) -> None:
+        """Ends the term if the worker refused its newest token.
+
+        A restarted worker refuses orders that were sent before its token was
+        raised.
+        """
+        if token == self._fence.token:
+            self._scheduler.lose_term(
+                f"worker {self._worker} has a newer token"
             )
 
     async def _end_unstarted(
@@ -198,13 +290,11 @@
         self.task_group.start_soon(self._send_stop, task_id, run)
 
     async def _send_stop(self, task_id: str, run: int) -> None:
-        restart_count = self._restart_count
+        token = self._fence.token
         try:
-            await self._client.stop(task_id, run, token=self._scheduler.token)
+            await self._client.stop(task_id, run, token=token)
         except FencedError:
-            self._scheduler.lose_term(
-                f"worker {self._worker} has a newer token"
-            )
+            self._lose_term_if_current(token)
         except LagoonbeamError as error:
             self._decisions.emit(
                 Event.RUN_STOP_FAILED,
@@ -217,12 +307,11 @@
                 time.monotonic() + UNANSWERED_STOP_RETRY_S
             )
         else:
-            if restart_count == self._restart_count:
+            if token == self._fence.token:
                 self._stop_confirmed_at_s[task_id, run] = time.monotonic()
 
     def discard_stops(self) -> None:
         """Discards all stops; a restarted worker knows none of them."""
-        self._restart_count += 1
         self._stop_retry_at_s.clear()
         self._stop_confirmed_at_s.clear()
 
@@ -232,6 +321,7 @@
         Returns:
             Monotonic time at which its start was confirmed, if it was.
         """
+        self._start_retry_at_s.pop((task_id, run), None)
         self._stop_retry_at_s.pop((task_id, run), None)
         self._stop_confirmed_at_s.pop((task_id, run), None)
         return self._start_confirmed_at_s.pop((task_id, run), None)
--- a/lagoonbeam/site/run_launcher.py
+++ b/lagoonbeam/site/run_launcher.py
@@ -4,6 +4,7 @@
 
 import time
 from collections.abc import Awaitable, Callable, Sequence
+from functools import partial
 
 import anyio.abc
 
@@ -144,18 +145,34 @@
         for placement in placements:
             self._cancel_pending_start(placement)
 
+    def repeat_start(self, task: Task, task_group: anyio.abc.TaskGroup) -> bool:
+        """Repeats a start; see `SchedulerCallbacks.repeat_start`."""
+        placement = task.placement
+        if (
+            placement is None
+            or not task.unit.job.is_open
+            or not self._fleet.accepts_runs(placement.worker)
+        ):
+            return False
+        dispatcher = self._fleet.sessions[placement.worker].dispatcher
+        if dispatcher.is_start_repeat_due(task):
+            self._fleet.pending_starts.add((task.task_id, placement.run))
+            self._start(task, placement, task_group, is_repeat=True)
+        return True
+
     def _start(
         self,
         task: Task,
         placement: Placement,
         task_group: anyio.abc.TaskGroup,
+        *,
+        is_repeat: bool = False,
     ) -> None:
         session = self._fleet.sessions[placement.worker]
         tickets = self._advice.get_tickets(get_step_id(task.unit))
         ticket = tickets.get(placement.worker, "")
-        task_group.start_soon(
-            session.dispatcher.start_run, task, placement, ticket
-        )
+        start = partial(session.dispatcher.start_run, is_repeat=is_repeat)
+        task_group.start_soon(start, task, placement, ticket)
 
     def _cancel_pending_start(self, placement: Placement) -> None:
         self._fleet.pending_starts.discard((placement.task_id, placement.run))
--- a/lagoonbeam/site/run_pacer.py
+++ b/lagoonbeam/site/run_pacer.py
@@ -11,6 +11,7 @@
 from lagoonbeam.site.pacing import FillerPacer
 from lagoonbeam.site.platform_interface import WorkerClient
 from lagoonbeam.site.scheduler_callbacks import SchedulerCallbacks
+from lagoonbeam.site.unconfirmed_orders import WorkerFence
 
 
 class RunPacer:
@@ -19,6 +20,7 @@
     Args:
         worker: The worker's name.
         client: Sends commands to the worker.
+        fence: Holds the fencing token.
         scheduler: The active scheduler.
         decisions: The decision log.
     """
@@ -27,11 +29,13 @@
         self,
         worker: str,
         client: WorkerClient,
+        fence: WorkerFence,
         scheduler: SchedulerCallbacks,
         decisions: DecisionLog,
     ):
         self._worker = worker
         self._client = client
+        self._fence = fence
         self._scheduler = scheduler
         self._decisions = decisions
         self._pacer = FillerPacer()
@@ -48,7 +52,7 @@
             outcome = "done"
             try:
                 await self._client.set_pace(
-                    run.task_id, run.run, percent, token=self._scheduler.token
+                    run.task_id, run.run, percent, token=self._fence.token
                 )
             except LagoonbeamError as error:
                 outcome = str(error)
--- a/lagoonbeam/site/scheduler.py
+++ b/lagoonbeam/site/scheduler.py
@@ -102,6 +102,7 @@
             self,
             lease_s=time_limits.lease_s,
             stop_timeout_s=time_limits.stop_timeout_s,
+            order_delay_s=time_limits.order_delay_s,
             decisions=decisions,
             zone_evacuations=platform_services.zone_evacuations,
         )
@@ -241,7 +242,11 @@
         self, ends: Sequence[RunEnd], evidence: EndEvidence | None = None
     ) -> bool:
         """Journals ends of runs; see `SchedulerCallbacks.record_run_ends`."""
-        return await self._termination_recorder.record_run_ends(ends, evidence)
+        recorder = self._termination_recorder
+        is_stored = await recorder.record_run_ends(ends, evidence)
+        if is_stored:
+            self._fleet.unanswered_starts.discard_ended(ends)
+        return is_stored
 
     def on_worker_usable(self, worker: str) -> None:
         """Requests a new plan after a worker became usable."""
@@ -283,9 +288,11 @@
         self._planner_state.avoid_worker(task.unit, worker)
         self._stop_unit(task.unit, f"no progress at worker {worker}")
 
-    def should_keep_running(self, task: Task) -> bool:
-        """Whether the runs of a task are still needed."""
-        return task.unit.job.is_open
+    def repeat_start(self, task: Task) -> bool:
+        """Repeats a start; see `SchedulerCallbacks.repeat_start`."""
+        return self._task_group is not None and self._launcher.repeat_start(
+            task, self._task_group
+        )
 
     async def _run_appender(self) -> None:
         await self._appender.run()
@@ -346,6 +353,7 @@
             await self._termination_recorder.end_runs_on_lost_workers(
                 self._fleet.sessions,
                 self._fleet.pending_starts,
+                self._fleet.unanswered_starts,
                 self._find_lease_expiry_s,
             )
             await self._termination_recorder.end_failed_and_expired_jobs()
--- a/lagoonbeam/site/scheduler_callbacks.py
+++ b/lagoonbeam/site/scheduler_callbacks.py
@@ -76,5 +76,9 @@
             run_s: Run time, or None if this scheduler saw no start of the run.
         """
 
-    def should_keep_running(self, task: Task) -> bool:
-        """Whether the runs of a task are still needed."""
+    def repeat_start(self, task: Task) -> bool:
+        """Sends the start of a placed task again, unless it is too early.
+
+        Returns:
+            Whether the task may still be started at its worker.
+        """
--- a/lagoonbeam/site/session.py
+++ b/lagoonbeam/site/session.py
@@ -29,7 +29,9 @@
 from lagoonbeam.site.run_dispatcher import RunDispatcher
 from lagoonbeam.site.run_pacer import RunPacer
 from lagoonbeam.site.scheduler_callbacks import SchedulerCallbacks
-from lagoonbeam.site.stall_detection import StallDetector
+from lagoonbeam.site.stale_runs import find_stop_cause
+from lagoonbeam.site.stalled_runs import StalledRunHandler
+from lagoonbeam.site.unconfirmed_orders import UnansweredStarts, WorkerFence
 
 POLL_WAIT_S = 1.0
 """Long-poll time-out; a fraction of the shortest lease."""
@@ -39,11 +41,6 @@
 """Long-poll time-out while a start or stop is unconfirmed."""
 POLL_RETRY_S = 0.2
 """Delay before the next poll of a worker that did not answer."""
-STALL_COOLDOWN_S = 3.0
-"""Time without new runs on a worker after one of its runs stalled."""
-RESTART_THRESHOLD_S = 4.5
-"""A stalled run is restarted elsewhere if it has lost less work or stalled for
-longer than this; most stalled workers resume after five seconds or more."""
 MAX_FAILED_POLLS = 2
 """Consecutive failed polls after which a worker gets no new runs."""
 
@@ -64,7 +61,9 @@
         scheduler: SchedulerCallbacks,
         *,
         lease: Lease,
+        fence: WorkerFence,
         pending_starts: set[RunKey],
+        unanswered_starts: UnansweredStarts,
         decisions: DecisionLog,
     ):
         self.report = report
@@ -78,19 +77,26 @@
         self._decisions = decisions
         self._monitor = DependencyMonitor(f"worker {report.worker}", decisions)
         self._lease = lease
+        self._fence = fence
+        self._unanswered_starts = unanswered_starts
         self.dispatcher = RunDispatcher(
             report.worker,
             client,
             self._lease,
+            fence,
             scheduler,
             pending_starts,
+            unanswered_starts,
             decisions,
         )
         self._acked_sequence = 0
-        self._stall_detector = StallDetector()
-        self._last_stall_s = float("-inf")
+        self._stalled_runs = StalledRunHandler(
+            report.worker, scheduler, self.dispatcher
+        )
         self._report_received_s = time.monotonic()
-        self._pacer = RunPacer(report.worker, client, scheduler, decisions)
+        self._pacer = RunPacer(
+            report.worker, client, fence, scheduler, decisions
+        )
         self._cancel_scope = anyio.CancelScope()
 
     @property
@@ -107,7 +113,7 @@
             and self.incarnation == self.report.incarnation
             and not self.report.is_draining
             and self.failed_polls < MAX_FAILED_POLLS
-            and time.monotonic() - self._last_stall_s > STALL_COOLDOWN_S
+            and not self._stalled_runs.is_cooling_down
         )
 
     @property
@@ -188,7 +194,7 @@
         savepoint = self._lease.create_savepoint()
         try:
             reply = await self._client.renew_leases(
-                token=self._scheduler.token,
+                token=self._fence.token,
                 # After a failed poll, another incarnation may answer.
                 acked_sequence=0 if self.failed_polls else self._acked_sequence,
                 lease_deadline_ms=self._lease.grant() if is_renewing else None,
@@ -209,6 +215,10 @@
         self._lease.record_clock(reply.clock_ms)
         if self._list_placed_tasks() and not self._is_lease_term_recorded():
             self._scheduler.lease_terms.request(self.worker)
+        if reply.incarnation:
+            self._fence.record_incarnation(reply.incarnation)
+            if self._fence.is_used_up:
+                self._scheduler.lose_term(f"{self.worker} needs a newer token")
         if reply.incarnation and reply.incarnation != self.incarnation:
             await self._adopt_incarnation(reply, sent_s)
         await self._process_reply(reply, sent_s)
@@ -226,6 +236,9 @@
             self._make_lapse(task)
             for task in self._list_placed_tasks()
             if not self.dispatcher.is_start_pending(task)
+            and not self._unanswered_starts.may_outlast_leases(
+                (task.task_id, task.run), self._lease.expires_at_s
+            )
         ]
         if ends:
             self._decisions.emit(
@@ -240,7 +253,8 @@
         """Ends the runs of the previous incarnation of a restarted worker.
 
         A run whose start may still be executed late stays placed until the
-        new incarnation has confirmed a stop of it.
+        new incarnation has confirmed a stop of it and the start can no longer
+        arrive, as the worker may restart once more.
         """
         self._decisions.emit(
             Event.WORKER_RESTARTED,
@@ -256,6 +270,7 @@
             if (task.task_id, task.run) not in listed_runs
             and not reply.is_truncated
             and self._has_begun_before(task, sent_s)
+            and not self.dispatcher.may_start_after(task, sent_s)
         ]
         self.incarnation = reply.incarnation
         self._acked_sequence = 0
@@ -285,7 +300,7 @@
 
     async def _process_reply(self, reply: PollReply, sent_s: float) -> None:
         self.running = {task.task_id: task for task in reply.running}
-        self._handle_stalled_runs()
+        self._stalled_runs.handle(self.running)
         if not self.has_been_polled:
             self.has_been_polled = True
             self._scheduler.on_worker_usable(self.worker)
@@ -294,6 +309,7 @@
         missing: list[RunEnd] = []
         for task in self._list_placed_tasks():
             run_key = (task.task_id, task.run)
+            self._unanswered_starts.discard_arrived(run_key, sent_s)
             if (
                 reply.is_truncated
                 or self.dispatcher.is_start_pending(task)
@@ -302,17 +318,21 @@
                 or self.dispatcher.was_start_confirmed_after(task, sent_s)
             ):
                 continue
-            if self.dispatcher.was_stop_confirmed_before(*run_key, sent_s):
+            if self._may_repeat_start(task) and self._scheduler.repeat_start(
+                task
+            ):
+                continue
+            if not self.dispatcher.was_stop_confirmed_before(*run_key, sent_s):
+                self.dispatcher.request_stop(
+                    *run_key, "run not listed by the worker"
+                )
+            elif not self.dispatcher.may_start_after(task, sent_s):
                 reason = (
                     RunEndReason.LEASE_EXPIRED
-                    if self._may_have_begun(task)
+                    if self.dispatcher.may_have_begun(task, self.incarnation)
                     else RunEndReason.NEVER_STARTED
                 )
                 missing.append(RunEnd(*run_key, reason))
-            else:
-                self.dispatcher.request_stop(
-                    *run_key, "run not listed by the worker"
-                )
         if missing:
             await self._scheduler.record_run_ends(
                 missing, EndEvidence.STOP_CONFIRMED
@@ -325,31 +345,21 @@
         self._stop_stale_runs()
         await self._pacer.adjust(self.running.values())
 
-    def _may_have_begun(self, task: Task) -> bool:
-        """Whether a run that the worker no longer lists may have executed."""
+    def _may_repeat_start(self, task: Task) -> bool:
+        """Whether to repeat a start of a run that the worker does not list.
+
+        The worker carries out only one of the copies. The run must not start
+        elsewhere while one of them is on its way.
+        """
         placement = task.placement
-        return self.dispatcher.was_start_confirmed_after(
-            task, float("-inf")
-        ) or (
-            placement is not None and placement.incarnation != self.incarnation
+        return (
+            self.is_listed
+            and not self.report.is_draining
+            and placement is not None
+            and placement.incarnation == self.incarnation
+            and self.dispatcher.may_repeat_start(task)
         )
 
-    def _handle_stalled_runs(self) -> None:
-        """Suspends new starts after a stall; reports runs worth restarting."""
-        tasks = self._scheduler.state.tasks
-        for task_id, stalled_s in self._stall_detector.find_stalled(
-            self.running
-        ).items():
-            task = tasks.get(task_id)
-            if task is None or task.unit.spec.is_long_running:
-                continue
-            self._last_stall_s = time.monotonic()
-            if (
-                stalled_s > RESTART_THRESHOLD_S
-                or self.dispatcher.get_lost_work_s(task) < RESTART_THRESHOLD_S
-            ):
-                self._scheduler.on_run_stalled(self.worker, task)
-
     async def _process_finished_runs(self, reply: PollReply) -> None:
         new = [e for e in reply.finished if e.sequence > self._acked_sequence]
         if not new:
@@ -382,19 +392,9 @@
         self._acked_sequence = max(end.sequence for end in new)
 
     def _stop_stale_runs(self) -> None:
-        tasks = self._scheduler.state.tasks
         for running in self.running.values():
-            task = tasks.get(running.task_id)
-            if task is None:
-                cause = "unknown task"
-            elif task.is_done and task.run == running.run:
-                continue
-            elif task.placement is None or task.run != running.run:
-                cause = "run superseded"
-            elif task.placement.worker != self.worker:
-                cause = "task placed on another worker"
-            elif not self._scheduler.should_keep_running(task):
-                cause = f"job is {task.unit.job.state.value}"
-            else:
-                continue
-            self.dispatcher.request_stop(running.task_id, running.run, cause)
+            task = self._scheduler.state.tasks.get(running.task_id)
+            if cause := find_stop_cause(running, task, self.worker):
+                self.dispatcher.request_stop(
+                    running.task_id, running.run, cause
+                )
--- /dev/null
+++ b/lagoonbeam/site/stale_runs.py
@@ -0,0 +1,32 @@
+"""Runs that a worker executes although they are no longer wanted."""
+
+from __future__ import annotations
+
+from lagoonbeam.site.jobs import Task
+from lagoonbeam.site.model import ActiveRun
+
+
+def find_stop_cause(
+    running: ActiveRun, task: Task | None, worker: str
+) -> str | None:
+    """Returns why a run that a worker lists is to be stopped.
+
+    Args:
+        running: The run.
+        task: Its task; None if it is unknown.
+        worker: The worker's name.
+
+    Returns:
+        The cause, or None if the run is to go on.
+    """
+    if task is None:
+        return "unknown task"
+    if task.is_done and task.run == running.run:
+        return None
+    if task.placement is None or task.run != running.run:
+        return "run superseded"
+    if task.placement.worker != worker:
+        return "task placed on another worker"
+    if not task.unit.job.is_open:
+        return f"job is {task.unit.job.state.value}"
+    return None
--- /dev/null
+++ b/lagoonbeam/site/unconfirmed_orders.py
@@ -0,0 +1,103 @@
+"""What keeps orders without an answer from taking effect too late.
+
+An order that got no answer may still be carried out, after newer ones and by a
+later incarnation of its worker, which knows nothing of what was stopped before.
+"""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from lagoonbeam.site.records import RunEnd, RunKey
+
+TOKENS_PER_TERM = 1000
+"""Fencing tokens of one term: its number and those up to the next term's."""
+
+
+def get_next_term(term: int) -> int:
+    """Returns the number of the term that follows a term."""
+    return (term // TOKENS_PER_TERM + 1) * TOKENS_PER_TERM
+
+
+@dataclass(slots=True)
+class WorkerFence:
+    """Fencing token of the orders that a term sends to one worker.
+
+    Each new incarnation of the worker gets a higher token. Once it has seen
+    that, it refuses orders that were sent to an earlier one.
+
+    Attributes:
+        token: Token of the orders that are sent from now on.
+        incarnation: Newest incarnation that answered; 0 if none did.
+    """
+
+    token: int
+    incarnation: int = 0
+
+    @property
+    def is_used_up(self) -> bool:
+        """Whether a higher token would be one of the next term."""
+        return (self.token + 1) % TOKENS_PER_TERM == 0
+
+    def record_incarnation(self, incarnation: int) -> None:
+        """Raises the token if another incarnation answered before."""
+        if self.incarnation not in (0, incarnation):
+            self.token += 1
+        self.incarnation = incarnation
+
+
+class UnansweredStarts:
+    """Starts of a term that got no answer and may still be carried out.
+
+    Args:
+        max_delay_s: Longest time after which an order that got no answer is
+            carried out.
+    """
+
+    def __init__(self, max_delay_s: float):
+        self._max_delay_s = max_delay_s
+        self._given_up_at_s: dict[RunKey, float] = {}
+
+    def record(self, run_key: RunKey) -> None:
+        """Records that a start of a run got no answer until now."""
+        self._given_up_at_s[run_key] = time.monotonic()
+
+    def discard_ended(self, ends: Iterable[RunEnd]) -> None:
+        """Discards the starts of runs that have ended."""
+        for end in ends:
+            self._given_up_at_s.pop((end.task_id, end.run), None)
+
+    def may_arrive_after(self, run_key: RunKey, time_s: float) -> bool:
+        """Whether a start may be carried out after a monotonic time."""
+        given_up_at_s = self._given_up_at_s.get(run_key, float("-inf"))
+        return given_up_at_s + self._max_delay_s >= time_s
+
+    def discard_arrived(self, run_key: RunKey, time_s: float) -> None:
+        """Discards a run's starts that arrived before a time, if all did.
+
+        Args:
+            run_key: The run; its worker was asked for its runs at `time_s`.
+            time_s: Monotonic time.
+        """
+        if not self.may_arrive_after(run_key, time_s):
+            self._given_up_at_s.pop(run_key, None)
+
+    def may_outlast_leases(
+        self, run_key: RunKey, leases_expire_at_s: float
+    ) -> bool:
+        """Whether a run may go on now, though all leases have expired.
+
+        A late start is granted a whole lease by an incarnation whose clock
+        has begun anew, as are later orders to it.
+
+        Args:
+            run_key: The run; nothing was heard from its worker since.
+            leases_expire_at_s: Monotonic time at which the leases expire that
+                were granted to its worker, on the clock of that time.
+        """
+        return (
+            run_key in self._given_up_at_s
+            and time.monotonic() <= leases_expire_at_s + self._max_delay_s
+        )
--- a/tests/site/test_fleet.py
+++ b/tests/site/test_fleet.py
@@ -51,7 +51,10 @@
     def __init__(self) -> None:
         self.started: list[str] = []
 
-    async def start_run(self, task: Any, placement: Any, ticket: str) -> None:
+    async def start_run(
+        self, task: Any, placement: Any, ticket: str, *, is_repeat: bool
+    ) -> None:
+        assert not is_repeat
         self.started.append(task.task_id)
 
 
--- a/tests/site/test_lease.py
+++ b/tests/site/test_lease.py
@@ -13,6 +13,7 @@
 from lagoonbeam.site.records import Placement
 from lagoonbeam.site.session import WorkerSession
 from lagoonbeam.site.state import SiteState
+from lagoonbeam.site.unconfirmed_orders import UnansweredStarts, WorkerFence
 from tests.site.builders import (
     accept_job,
     make_job,
@@ -160,7 +161,9 @@
             client,
             scheduler,
             lease=Lease(LEASE_S, 0.0),
+            fence=WorkerFence(1),
             pending_starts=set(),
+            unanswered_starts=UnansweredStarts(12.0),
             decisions=DecisionLog("n0", "z1", descriptor=2),
         )
         session._lease.record_clock(50_000)
--- a/tests/site/test_presumed_ends_restarted_worker.py
+++ b/tests/site/test_presumed_ends_restarted_worker.py
@@ -5,7 +5,7 @@
 import anyio
 import pytest
 
-from tests.site.worker_model import WorkerModel
+from tests.site.worker_model import RunKey, WorkerModel
 from tests.site.worker_site import (
     FIRST_RUN,
     OLD_TERM_S,
@@ -43,10 +43,17 @@
     assert audit.violations == []
 
 
+@pytest.mark.parametrize(
+    ("silent_after_s", "begun"), [(0.0, [FIRST_RUN]), (0.7, [])]
+)
 def test_late_start_on_a_restarted_silent_worker_lapses_before_its_end(
-    monkeypatch: pytest.MonkeyPatch,
+    monkeypatch: pytest.MonkeyPatch, silent_after_s: float, begun: list[RunKey]
 ) -> None:
-    """The deadline is on the clock of the earlier life, far ahead."""
+    """The deadline is on the clock of the earlier life, far ahead.
+
+    The new life refuses the start once a poll has reached it whose token is
+    higher than that of the start.
+    """
 
     async def scenario(site: WorkerSite) -> None:
         worker = await send_start_before_restart(
@@ -54,10 +61,10 @@
         )
         site.add_fault(1, "run-stop")
         site.add_worker("w2", 2)
-        await anyio.sleep(0.7)
+        await anyio.sleep(silent_after_s)
         site.add_fault(1, "hold")
         await anyio.sleep(30.0)
-        assert worker.begun == [FIRST_RUN]
+        assert worker.begun == begun
 
     audit = play(monkeypatch, scenario)
     assert FIRST_RUN in audit.presumed_ends
--- a/tests/site/test_session.py
+++ b/tests/site/test_session.py
@@ -28,6 +28,7 @@
 )
 from lagoonbeam.site.session import WorkerSession
 from lagoonbeam.site.state import SiteState
+from lagoonbeam.site.unconfirmed_orders import UnansweredStarts, WorkerFence
 from tests.site.builders import (
     accept_job,
     make_job,
@@ -78,6 +79,7 @@
         return 1
 
     async def stop(self, task_id: str, run: int, *, token: int) -> None:
+        await anyio.sleep(0.001)
         self.stopped.append((task_id, run))
 
     async def close(self) -> None:
@@ -109,8 +111,8 @@
         self.state.apply(RunsEnded(tuple(ends)))
         return True
 
-    def should_keep_running(self, task: Any) -> bool:
-        return True
+    def repeat_start(self, task: Any) -> bool:
+        return False
 
     def __getattr__(self, name: str) -> Any:
         """Ignores the callbacks that only planning and health need."""
@@ -135,12 +137,15 @@
         self.client: Any = FakeClient(replies)
         scheduler: Any = self.scheduler
         self.lease = Lease(5.0, leases_expire_at_s)
+        self.fence = WorkerFence(1, 1)
         self.session = WorkerSession(
             make_worker_report("w1"),
             self.client,
             scheduler,
             lease=self.lease,
+            fence=self.fence,
             pending_starts=set(),
+            unanswered_starts=UnansweredStarts(12.0),
             decisions=DecisionLog("n0", "z1", descriptor=2),
         )
         self.client.on_exhausted = self.session.close
@@ -202,6 +207,20 @@
     assert play.client.stopped == [("j0.0.0.0", 1)] * 2
 
 
+async def test_stop_answered_by_an_earlier_life_is_not_confirmed() -> None:
+    """The answer arrives when a poll has shown the new life already."""
+    play = SessionRun()
+    dispatcher = play.session.dispatcher
+    async with anyio.create_task_group() as tasks:
+        dispatcher.task_group = tasks
+        dispatcher.request_stop("j0.0.0.0", 1, "test")
+        await anyio.sleep(0)
+        play.fence.record_incarnation(RESTARTED)
+        dispatcher.discard_stops()
+    assert play.client.stopped == [("j0.0.0.0", 1)]
+    assert not dispatcher.was_stop_confirmed_before("j0.0.0.0", 1, float("inf"))
+
+
 async def test_restarted_worker_gets_no_runs_by_its_earlier_capacity() -> None:
     play = SessionRun(make_reply(RESTARTED))
     await play.run()
