--- a/harness/incident_mutations.py
+++ b/harness/incident_mutations.py
@@ -96,4 +96,30 @@
         "tests/site/test_journal_follower.py"
         "::test_snapshot_is_due_although_no_term_outlasts_the_interval",
     ),
+    Mutation(
+        "site: a late manifest of a snapshot has no effect",
+        "platform/lagoonbeam_platform/snapshots.py",
+        "        client, SNAPSHOT_TOPIC, records, expected_offset=end_offset\n",
+        "        client, SNAPSHOT_TOPIC, records\n",
+        "tests/adapters/test_snapshots.py"
+        "::test_late_manifest_does_not_name_deleted_parts",
+    ),
+    Mutation(
+        "site: an older snapshot does not replace a newer one",
+        "platform/lagoonbeam_platform/snapshots.py",
+        "    _raise_if_older(snapshot, items)\n",
+        "",
+        "tests/adapters/test_snapshots.py"
+        "::test_older_snapshot_does_not_replace_a_newer_one",
+    ),
+    Mutation(
+        "site: the journal is replayed if the snapshot lacks parts",
+        "lagoonbeam/site/journal_follower.py",
+        "                await anyio.sleep(add_jitter(RETRY_DELAY_S))\n"
+        "                return\n",
+        "                await anyio.sleep(add_jitter(RETRY_DELAY_S))\n"
+        "                continue\n",
+        "tests/site/test_journal_follower.py"
+        "::test_journal_is_replayed_when_the_snapshot_lacks_parts",
+    ),
 ]
--- a/lagoonbeam/site/platform_interface.py
+++ b/lagoonbeam/site/platform_interface.py
@@ -113,13 +113,21 @@
         """Returns the latest complete snapshot, or None if there is none.
 
         Raises:
-            MalformedDataError: If the snapshot cannot be decoded.
+            MalformedDataError: If the snapshot is incomplete or cannot be
+                decoded.
             UnavailableError: If the store cannot be read.
         """
 
     @abstractmethod
     async def save_snapshot(self, snapshot: Snapshot) -> None:
-        """Stores a snapshot, replacing the previous one."""
+        """Stores a snapshot, replacing the previous one.
+
+        A failed attempt may take effect later, but not after another one has
+        begun to.
+
+        Raises:
+            LagoonbeamError: If the snapshot may not have been stored.
+        """
 
 
 class ConfigurationSource(ABC):
--- a/tests/site/test_journal_follower.py
+++ b/tests/site/test_journal_follower.py
@@ -5,7 +5,7 @@
 import anyio
 import pytest
 
-from lagoonbeam.errors import LogTruncatedError
+from lagoonbeam.errors import LogTruncatedError, MalformedDataError
 from lagoonbeam.site import journal_follower as follower_module
 from lagoonbeam.site.decision_log import DecisionLog
 from lagoonbeam.site.job_service import JobService
@@ -240,3 +240,22 @@
         await anyio.sleep(0.3)
         tasks.cancel_scope.cancel()
     assert 1 <= store.read_count <= 0.3 / (0.5 * follower_module.RETRY_DELAY_S)
+
+
+class IncompleteSnapshotStore(CountingStore):
+    """A store with the whole history, and a snapshot that lacks parts."""
+
+    async def load_snapshot(self) -> Snapshot | None:
+        raise MalformedDataError("1 of 2 parts of the snapshot are missing")
+
+
+async def test_journal_is_replayed_when_the_snapshot_lacks_parts() -> None:
+    """No instance served again, though the journal held all records."""
+    store = IncompleteSnapshotStore()
+    store.store_record(TermClaimed(7, "n0", "n0-1"))
+    follower = JournalFollower(store, DecisionLog("n0", "z1", descriptor=2))
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(follower.run)
+        assert await follower.wait_for_offset(1, 2.0)
+        tasks.cancel_scope.cancel()
+    assert follower.state.term.number == 7
