Raise the fencing token of each order that differs from the last (late moves)

All orders of a term had one token, so a late loan took a returned machine away again, and a late return one that was lent anew; what ran there ended. A loan that was ended because the machine never came was not fenced off at all: carried out later, nobody returned the machine.

Change: an order that differs from the one before it, for the same machine, gets a higher token of the term. The end of a loan is ordered also when the machine stayed in its pool; the order is idempotent there. A refusal of an earlier token doesn't end the term.

Evidence: three tests in tests/site/test_spare_pools.py; with the old behaviour put back by two mutations they fail.

--- a/harness/incident_mutations.py
+++ b/harness/incident_mutations.py
@@ -122,4 +122,20 @@
         "tests/site/test_journal_follower.py"
         "::test_journal_is_replayed_when_the_snapshot_lacks_parts",
     ),
+    Mutation(
+        "site: a machine refuses a move that a newer one has replaced",
+        "lagoonbeam/site/machine_fences.py",
+        "        if order != last_order:\n",
+        "        if False:\n",
+        "tests/site/test_spare_pools.py"
+        "::test_late_move_does_not_undo_a_newer_one",
+    ),
+    Mutation(
+        "site: a loan without an answer is fenced off at its end",
+        "lagoonbeam/site/spare_pools.py",
+        "            elif machine is None:\n",
+        "            elif machine is None or machine.pool != loan.pool:\n",
+        "tests/site/test_spare_pools.py"
+        "::test_loan_without_an_answer_is_fenced_off_at_its_end",
+    ),
 ]
--- a/lagoonbeam/errors.py
+++ b/lagoonbeam/errors.py
@@ -365,6 +365,12 @@
     code = "fenced"
 
 
+class TokensUsedUpError(LagoonbeamError):
+    """A term has no higher fencing token for a machine."""
+
+    code = "tokens_used_up"
+
+
 class OffsetConflictError(UnavailableError):
     """A conditional append expected another end of the journal."""
 
--- a/lagoonbeam/site/controllers.py
+++ b/lagoonbeam/site/controllers.py
@@ -11,6 +11,7 @@
 from lagoonbeam.site.decision_log import DecisionLog
 from lagoonbeam.site.dependency import DependencyMonitor
 from lagoonbeam.site.evacuation import WorkerEvacuator
+from lagoonbeam.site.machine_fences import MachineFences
 from lagoonbeam.site.machines import MachineService, TermHolder
 from lagoonbeam.site.records import Record
 from lagoonbeam.site.state import SiteState
@@ -26,7 +27,7 @@
         append_records: Appends records to the journal; returns whether they
             are stored.
         evacuations: Cordons workers and stops their runs.
-        holder: Instance and fencing token on each order.
+        fences: Instance and fencing token on each order.
         lose_term: Ends the term; called with the cause when a machine has seen
             a higher fencing token.
         decisions: The decision log.
@@ -36,7 +37,7 @@
     get_state: Callable[[], SiteState]
     append_records: Callable[[Sequence[Record]], Awaitable[bool]]
     evacuations: WorkerEvacuator
-    holder: TermHolder
+    fences: MachineFences
     lose_term: Callable[[str], None]
     decisions: DecisionLog
 
@@ -63,6 +64,11 @@
             f"machines, for {self.name}", context.decisions
         )
 
+    def _lose_term_if_newest(self, machine_id: str, holder: TermHolder) -> None:
+        """Ends the term if a machine refused its newest fencing token."""
+        if self._context.fences.is_newest(machine_id, holder):
+            self._context.lose_term(f"machine {machine_id} has a newer token")
+
     async def run(self) -> None:
         """Runs steps at the interval until cancelled."""
         while True:
--- a/lagoonbeam/site/scheduler.py
+++ b/lagoonbeam/site/scheduler.py
@@ -18,6 +18,7 @@
 from lagoonbeam.site.jobs import PlacementUnit, SiteJob, Task
 from lagoonbeam.site.journal_appender import JournalAppender
 from lagoonbeam.site.journal_follower import JournalFollower
+from lagoonbeam.site.machine_fences import MachineFences
 from lagoonbeam.site.machines import TermHolder
 from lagoonbeam.site.model import (
     Configuration,
@@ -157,7 +158,7 @@
                 self._planner_state,
                 self._stop_unit,
             ),
-            holder=holder,
+            fences=MachineFences(holder),
             lose_term=self.lose_term,
             decisions=self._decisions,
         )
@@ -243,8 +244,7 @@
     ) -> bool:
         """Journals ends of runs; see `SchedulerCallbacks.record_run_ends`."""
         recorder = self._termination_recorder
-        is_stored = await recorder.record_run_ends(ends, evidence)
-        if is_stored:
+        if is_stored := await recorder.record_run_ends(ends, evidence):
             self._fleet.unanswered_starts.discard_ended(ends)
         return is_stored
 
--- a/lagoonbeam/site/spare_pools.py
+++ b/lagoonbeam/site/spare_pools.py
@@ -179,16 +179,20 @@
             machine = machines.get(machine_id)
             if loan.pool not in idle_services:
                 self._end_return(machine_id)
-            elif machine is None or machine.pool != loan.pool:
+            elif machine is None:
                 self._end_return(machine_id)
                 await self._context.append_records(
                     [MachineMoved(machine_id, loan.home, loan.home)]
                 )
             elif machine.state is MachineState.UP:
-                self._returning[machine_id] = machine.worker
-                self._evacuator.cordon(machine.worker)
-                if self._evacuator.is_empty(machine.worker):
-                    await self._move_machine(machine, loan.home, home=loan.home)
+                if machine.pool == loan.pool:
+                    self._returning[machine_id] = machine.worker
+                    self._evacuator.cordon(machine.worker)
+                    if not self._evacuator.is_empty(machine.worker):
+                        continue
+                # Also sent to a machine that was not lent: it then refuses the
+                # loan, which may still be carried out.
+                await self._move_machine(machine, loan.home, home=loan.home)
 
     def _end_return(self, machine_id: str) -> None:
         """Makes the worker of a machine due for return available again."""
@@ -209,18 +213,17 @@
         if is_loan and not await self._context.append_records([moved]):
             return
         outcome = "moved"
+        holder = self._context.fences.get_holder(
+            machine.machine_id, f"move to {pool}"
+        )
         try:
-            await self._machines.move_to_pool(
-                machine.machine_id, pool, self._context.holder
-            )
+            await self._machines.move_to_pool(machine.machine_id, pool, holder)
         except MachineOrderRefusedError as refusal:
             outcome = f"refused: {refusal.reason.value}"
             if refusal.reason is MachineRefusalReason.NOT_CONCERNED:
                 self._rejected_moves.add((machine.machine_id, pool))
         except FencedError:
-            self._context.lose_term(
-                f"machine {machine.machine_id} has a newer token"
-            )
+            self._lose_term_if_newest(machine.machine_id, holder)
             return
         except LagoonbeamError as error:
             outcome = f"in doubt: {error}"
@@ -236,6 +239,6 @@
             machine=machine.machine_id,
             pool=pool,
             before=machine.pool,
-            term=self._context.holder.token,
+            term=self._context.fences.holder.token,
             outcome=outcome,
         )
--- a/lagoonbeam/site/upkeep.py
+++ b/lagoonbeam/site/upkeep.py
@@ -211,10 +211,13 @@
             if not await self._context.append_records([order]):
                 return
         outcome = "begun"
+        holder = self._context.fences.get_holder(
+            machine.machine_id, f"upkeep of wave {wave.number}"
+        )
         self._ordered_down[machine.machine_id] = wave.number
         try:
             await self._machines.begin_upkeep(
-                machine.machine_id, wave.number, self._context.holder
+                machine.machine_id, wave.number, holder
             )
         except MachineOrderRefusedError as refusal:
             outcome = f"refused: {refusal.reason.value}"
@@ -225,9 +228,7 @@
                 self._rejected.add((wave.number, machine.machine_id))
                 self._release_machine(machine.machine_id)
         except FencedError:
-            self._context.lose_term(
-                f"machine {machine.machine_id} has a newer token"
-            )
+            self._lose_term_if_newest(machine.machine_id, holder)
             return
         except LagoonbeamError as error:
             outcome = f"in doubt: {error}"
@@ -239,7 +240,7 @@
             machine=machine.machine_id,
             worker=machine.worker,
             wave=wave.number,
-            term=self._context.holder.token,
+            term=self._context.fences.holder.token,
             waited_s=round(self._evacuator.get_cordoned_s(machine.worker), 2),
             outcome=outcome,
         )
--- a/tests/site/controller_scenario.py
+++ b/tests/site/controller_scenario.py
@@ -2,16 +2,18 @@
 
 from __future__ import annotations
 
+import contextlib
 from collections.abc import Sequence
 from types import SimpleNamespace
 from typing import Any
 
 import anyio
 
-from lagoonbeam.errors import ResponseLostError
+from lagoonbeam.errors import FencedError, ResponseLostError
 from lagoonbeam.site.controllers import ControllerContext
 from lagoonbeam.site.decision_log import DecisionLog
 from lagoonbeam.site.evacuation import WorkerEvacuator
+from lagoonbeam.site.machine_fences import MachineFences
 from lagoonbeam.site.machines import (
     Machine,
     MachineService,
@@ -52,6 +54,8 @@
         self.failures: list[Exception] = []
         self.are_lost_orders_applied = True
         self.orders: list[tuple[str, object]] = []
+        self.late_moves: list[tuple[str, str, TermHolder]] = []
+        self.tokens: dict[str, int] = {}
 
     def set_machine(
         self, name: str, state: MachineState, **fields: Any
@@ -87,7 +91,20 @@
     ) -> None:
         self.orders.append((machine_id, pool))
         if self.failures:
+            self.late_moves.append((machine_id, pool, holder))
             raise self.failures.pop(0)
+        self._move(machine_id, pool, holder)
+
+    def carry_out_late_moves(self) -> None:
+        """Carries out the moves that failed."""
+        for move in self.late_moves:
+            with contextlib.suppress(FencedError):
+                self._move(*move)
+
+    def _move(self, machine_id: str, pool: str, holder: TermHolder) -> None:
+        if holder.token < self.tokens.get(machine_id, 0):
+            raise FencedError(machine_id)
+        self.tokens[machine_id] = holder.token
         self.set_machine(machine_id, MachineState.UP, pool=pool)
 
 
@@ -130,7 +147,7 @@
             get_state=lambda: self.state,
             append_records=self.append_records,
             evacuations=self.evacuations,
-            holder=HOLDER,
+            fences=MachineFences(HOLDER),
             lose_term=self.term_losses.append,
             decisions=decisions,
         )
--- a/tests/site/test_spare_pools.py
+++ b/tests/site/test_spare_pools.py
@@ -8,6 +8,7 @@
 import pytest
 
 from lagoonbeam.errors import LagoonbeamError, ResponseLostError
+from lagoonbeam.site.machine_fences import MachineFences
 from lagoonbeam.site.machines import (
     MachineOrderRefusedError,
     MachineRefusalReason,
@@ -17,6 +18,7 @@
 from lagoonbeam.site.snapshot import decode_state, encode_state
 from tests.site.builders import accept_job, make_job, record_placement
 from tests.site.controller_scenario import (
+    HOLDER,
     ControllerScenario,
     FakeMachineService,
     make_wave,
@@ -143,3 +145,56 @@
             )
         )
         assert bool(scenario.state.lent_machines) is is_lent
+
+
+def move(scenario: ControllerScenario, pool: str) -> None:
+    machine = scenario.machines.machines["m0"]
+    anyio.run(
+        lambda: scenario.pool_controller._move_machine(
+            machine, pool, home="spare"
+        )
+    )
+
+
+@pytest.mark.parametrize("is_lent_again", [False, True])
+def test_late_move_does_not_undo_a_newer_one(is_lent_again: bool) -> None:
+    """A machine was moved once more, and what ran on it ended."""
+    scenario = ControllerScenario(FakeMachineService(1, "spare"))
+    scenario.machines.failures = [ResponseLostError("silent")]
+    move(scenario, "compute")
+    move(scenario, "spare")
+    if is_lent_again:
+        scenario.machines.late_moves.clear()
+        scenario.machines.failures = [ResponseLostError("silent")]
+        move(scenario, "spare")
+        move(scenario, "compute")
+    scenario.machines.carry_out_late_moves()
+    expected = "compute" if is_lent_again else "spare"
+    assert scenario.machines.machines["m0"].pool == expected
+    assert scenario.term_losses == []
+
+
+def test_loan_without_an_answer_is_fenced_off_at_its_end(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """It was carried out after its end, and nobody returned the machine."""
+    now_s = [100.0]
+    monkeypatch.setattr("time.monotonic", lambda: now_s[0])
+    scenario = ControllerScenario(FakeMachineService(1, "spare"))
+    scenario.machines.failures = [ResponseLostError("silent")]
+    move(scenario, "compute")
+    now_s[0] += 60.0
+    step_pools(scenario)
+    assert not scenario.state.lent_machines
+    scenario.machines.carry_out_late_moves()
+    assert scenario.machines.machines["m0"].pool == "spare"
+
+
+def test_order_refused_for_an_earlier_token_does_not_end_the_term() -> None:
+    fences = MachineFences(HOLDER)
+    first = fences.get_holder("m0", "move to a")
+    assert fences.get_holder("m0", "move to a") is first
+    second = fences.get_holder("m0", "move to b")
+    assert second.token == first.token + 1
+    assert not fences.is_newest("m0", first)
+    assert fences.is_newest("m0", second)
