--- a/tests/adapters/keyed_store.py
+++ b/tests/adapters/keyed_store.py
@@ -8,7 +8,10 @@
 from typing import Any
 from urllib.parse import parse_qs, urlsplit
 
-from lagoonbeam_platform.store import PlatformJournalStore
+from lagoonbeam_platform.store import (
+    PlatformJournalStore,
+    PlatformOperatorChannel,
+)
 from lagoonbeam_platform.store_client import (
     StoreClient,
     decode_journal_page,
@@ -29,6 +32,7 @@
         before_append: Called before each append.
         calls: Targets of the appends.
         journal: Stores snapshots here.
+        operator_channel: Stores states of waves here.
     """
 
     def __init__(self) -> None:
@@ -41,7 +45,11 @@
         self.before_append: Callable[[], None] = lambda: None
         self._late_calls: list[tuple[str, bytes]] = []
         transport: Any = self
-        self.journal = PlatformJournalStore(StoreClient(transport))
+        client = StoreClient(transport)
+        self.journal = PlatformJournalStore(client)
+        self.operator_channel = PlatformOperatorChannel(
+            client, lambda *args, **fields: None
+        )
 
     async def call(
         self, method: str, target: str, *, body: bytes, timeout_s: float
