Answer requests that offer another protocol as usual (Fault)

Cause: httptools raises HttpParserUpgrade, which is no HttpParserError, and takes the request as complete before its body.

Change: the server parses the request again without the offer, answers CONNECT with 405, and the client counts a switch of protocol as a lost response.

--- a/lagoonbeam/core/http_client.py
+++ b/lagoonbeam/core/http_client.py
@@ -173,6 +173,7 @@
             anyio.ClosedResourceError,
             anyio.EndOfStream,
             httptools.HttpParserError,
+            httptools.HttpParserUpgrade,
             OSError,
         ) as error:
             await connection.close()
--- a/lagoonbeam/core/http_server.py
+++ b/lagoonbeam/core/http_server.py
@@ -124,6 +124,8 @@
     def on_message_complete(self) -> None:
         self._request.method = self._parser.get_method().decode("ascii")
         self._request.body = bytes(self._body)
+        if self._parser.should_upgrade():
+            return
         self._parsed_requests.append(self._request)
         self._is_receiving = False
 
@@ -147,11 +149,40 @@
                 data = await self._stream.receive(READ_CHUNK_BYTES)
             if self._receive_scope.cancelled_caught:
                 return None
-            self._parser.feed_data(data)
+            self._parse(data)
         return (
             self._parsed_requests.pop(0) if self._parsed_requests else Request()
         )
 
+    def _parse(self, data: bytes) -> None:
+        """Parses received data; offers of another protocol are ignored."""
+        while data and not self.error_status:
+            try:
+                self._parser.feed_data(data)
+            except httptools.HttpParserUpgrade as upgrade:
+                (parsed_bytes,) = upgrade.args
+                head = self._encode_head_without_offer()
+                self._parser = httptools.HttpRequestParser(self)
+                data = head + data[parsed_bytes:]
+            else:
+                return
+
+    def _encode_head_without_offer(self) -> bytes:
+        """Returns the head of the current request without its `Upgrade`.
+
+        The parser takes a request with an offer as complete before its body.
+        """
+        request = self._request
+        if request.method == "CONNECT":
+            self.error_status = 405
+        is_last = "close" in request.headers.pop("connection", "").lower()
+        request.headers.pop("upgrade", None)
+        if is_last:
+            request.headers["connection"] = "close"
+        fields = [f"{name}: {value}" for name, value in request.headers.items()]
+        start_line = f"{request.method} {request.target} HTTP/1.1"
+        return "\r\n".join([start_line, *fields, "", ""]).encode("latin-1")
+
     def _get_deadline_s(self) -> float:
         return self._waiting_since_s + (
             self._limits.header_timeout_s
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -3,6 +3,7 @@
 from collections.abc import Awaitable, Callable
 
 import anyio
+import anyio.abc
 import pytest
 
 from lagoonbeam.core.http_client import HttpClient, Response
@@ -135,6 +136,82 @@
     run_with_server(test)
 
 
+UPGRADE_FIELDS = (
+    "Connection: Upgrade, HTTP2-Settings\r\nUpgrade: h2c\r\n"
+    "HTTP2-Settings: AAMAAABkAAQAAP__\r\n"
+)
+
+
+@pytest.mark.parametrize("chunk_bytes", [1, 40, 10_000])
+def test_request_that_offers_another_protocol_is_answered_as_usual(
+    chunk_bytes: int,
+) -> None:
+    """It ended the process that read it."""
+
+    async def test(server: HttpServer, port: int) -> None:
+        async with await anyio.connect_tcp(HOST, port) as stream:
+            upgrade = (
+                f"POST /a HTTP/1.1\r\nHost: h\r\n{UPGRADE_FIELDS}"
+                "Content-Length: 3\r\n\r\none"
+            )
+            data = f"{upgrade}{upgrade}GET /b HTTP/1.1\r\nHost: h\r\n\r\n"
+            for start in range(0, len(data), chunk_bytes):
+                await stream.send(data[start : start + chunk_bytes].encode())
+            received = b""
+            with anyio.fail_after(2.0):
+                while received.count(b"HTTP/1.1 200") < 3 or (
+                    not received.endswith(b"/b")
+                ):
+                    received += await stream.receive()
+        assert received.count(b"\r\n\r\none") == 2
+
+    run_with_server(test)
+
+
+@pytest.mark.parametrize(
+    ("request_head", "status"),
+    [
+        (f"GET /a HTTP/1.1\r\nHost: h\r\n{UPGRADE_FIELDS}\r\n", 200),
+        ("CONNECT h:1 HTTP/1.1\r\nHost: h\r\n\r\n", 405),
+        ("CONNECT h:1 HTTP/1.1\r\nHost: h\r\n\r\n\x16\x03\x01", 405),
+    ],
+)
+def test_tunnel_and_upgrade_requests_do_not_end_the_server(
+    request_head: str, status: int
+) -> None:
+    async def test(server: HttpServer, port: int) -> None:
+        async with await anyio.connect_tcp(HOST, port) as stream:
+            await stream.send(request_head.encode("latin-1"))
+            with anyio.fail_after(2.0):
+                response = await stream.receive()
+        assert response.startswith(f"HTTP/1.1 {status}".encode())
+        await _expect_echo(HttpClient(HOST, port), "/still-serving")
+
+    run_with_server(test)
+
+
+def test_response_that_switches_the_protocol_counts_as_lost() -> None:
+    async def serve(stream: anyio.abc.SocketStream) -> None:
+        async with stream:
+            await stream.receive()
+            await stream.send(
+                b"HTTP/1.1 101 Switching Protocols\r\n"
+                b"Connection: Upgrade\r\nUpgrade: h2c\r\n\r\n"
+            )
+            await anyio.sleep(1.0)
+
+    async def main() -> None:
+        listener = await anyio.create_tcp_listener(local_host=HOST)
+        port = listener.extra(anyio.abc.SocketAttribute.local_port)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(listener.serve, serve)
+            with pytest.raises(ResponseLostError):
+                await HttpClient(HOST, port).call("GET", "/", timeout_s=1)
+            tasks.cancel_scope.cancel()
+
+    anyio.run(main)
+
+
 def test_drain_finishes_open_requests_and_closes_idle_connections() -> None:
     async def test(server: HttpServer, port: int) -> None:
         client = HttpClient(HOST, port)
