--- a/lagoonbeam/site/fleet.py
+++ b/lagoonbeam/site/fleet.py
@@ -12,7 +12,7 @@
 from lagoonbeam.site.decision_log import DecisionLog
 from lagoonbeam.site.dependency import DependencyMonitor
 from lagoonbeam.site.events import Event
-from lagoonbeam.site.jobs import Task
+from lagoonbeam.site.jobs import PlacementUnit, Task
 from lagoonbeam.site.lease import Lease, LeaseGrants
 from lagoonbeam.site.model import WorkerReport
 from lagoonbeam.site.platform_interface import (
@@ -166,6 +166,18 @@
             for task in session.find_tasks_outlasting_drain()
         ]
 
+    def stop_unit(self, unit: PlacementUnit, cause: str) -> None:
+        """Stops the runs of all tasks of a unit."""
+        for task in unit.tasks:
+            placement = task.placement
+            if placement is None:
+                continue
+            session = self.sessions.get(placement.worker)
+            if session is not None:
+                session.dispatcher.request_stop(
+                    task.task_id, placement.run, cause
+                )
+
     async def run(self) -> None:
         """Polls the directory and runs the sessions until cancelled."""
         async with anyio.create_task_group() as tasks:
--- a/lagoonbeam/site/planner.py
+++ b/lagoonbeam/site/planner.py
@@ -93,10 +93,15 @@
         self._plan = Plan()
 
     def run(self) -> Plan:
-        """Places ready units by rank, within the bounds of one plan."""
+        """Places ready units by rank, within the bounds of one plan.
+
+        The time to rank them does not count, so that each plan makes progress
+        however long the queue is.
+        """
+        ranked_units = self._queue.list_ranked()
         deadline_s = time.monotonic() + PLAN_TIME_LIMIT_S
         tried_unit_keys = self._planner_state.tried_unit_keys
-        for unit in self._queue.list_ranked():
+        for unit in ranked_units:
             if unit.key in tried_unit_keys:
                 continue
             if (
--- a/lagoonbeam/site/scheduler.py
+++ b/lagoonbeam/site/scheduler.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import time
 from collections.abc import Callable, Sequence
 
 import anyio
@@ -15,7 +16,7 @@
 from lagoonbeam.site.evacuation import WorkerEvacuator
 from lagoonbeam.site.events import Event
 from lagoonbeam.site.fleet import WorkerFleet
-from lagoonbeam.site.jobs import PlacementUnit, SiteJob, Task
+from lagoonbeam.site.jobs import SiteJob, Task
 from lagoonbeam.site.journal_appender import JournalAppender
 from lagoonbeam.site.journal_follower import JournalFollower
 from lagoonbeam.site.machine_fences import MachineFences
@@ -156,7 +157,7 @@
                 lambda: self.state,
                 self._fleet,
                 self._planner_state,
-                self._stop_unit,
+                self._fleet.stop_unit,
             ),
             fences=MachineFences(holder),
             lose_term=self.lose_term,
@@ -255,7 +256,7 @@
     def on_start_refused(self, worker: str, task: Task) -> None:
         """Stops the other members of a gang after a refused start."""
         self._advice.drop_ticket(get_step_id(task.unit), worker)
-        self._stop_unit(task.unit, f"worker {worker} refused a start")
+        self._fleet.stop_unit(task.unit, f"worker {worker} refused a start")
         self._plan_requested.set()
 
     def on_run_ended(
@@ -286,7 +287,7 @@
         if task.unit.job.request.runs_once:
             return
         self._planner_state.avoid_worker(task.unit, worker)
-        self._stop_unit(task.unit, f"no progress at worker {worker}")
+        self._fleet.stop_unit(task.unit, f"no progress at worker {worker}")
 
     def repeat_start(self, task: Task) -> bool:
         """Repeats a start; see `SchedulerCallbacks.repeat_start`."""
@@ -358,11 +359,14 @@
             )
             await self._termination_recorder.end_failed_and_expired_jobs()
             for worker, task in self._fleet.find_tasks_outlasting_drain():
-                self._stop_unit(
+                self._fleet.stop_unit(
                     task.unit, f"{worker} leaves before the run can end"
                 )
+            started_s = time.monotonic()
             self._make_and_apply_plan()
-            await anyio.sleep(MIN_PLAN_INTERVAL_S)
+            # A long queue takes long to rank; others get half of the time.
+            plan_s = time.monotonic() - started_s
+            await anyio.sleep(max(MIN_PLAN_INTERVAL_S, plan_s))
 
     def _make_and_apply_plan(self) -> None:
         usable_sessions = self._fleet.get_usable_sessions()
@@ -377,7 +381,7 @@
         self._decisions.metrics.lost_core_s.inc(plan.lost_core_s)
         self._shortage_tracker.update(plan.unplaced_steps)
         for victim, unit in plan.stops:
-            self._stop_unit(victim, f"room for {unit.key}")
+            self._fleet.stop_unit(victim, f"room for {unit.key}")
         if self._task_group is not None:
             self._launcher.launch(plan.starts, self._task_group)
         if plan.is_truncated:
@@ -387,14 +391,3 @@
         """Returns the policy of a job's queue; that of acceptance if gone."""
         policy = job.request.queue
         return self._get_configuration().find_policy(policy.name) or policy
-
-    def _stop_unit(self, unit: PlacementUnit, cause: str) -> None:
-        for task in unit.tasks:
-            placement = task.placement
-            if placement is None:
-                continue
-            session = self._fleet.sessions.get(placement.worker)
-            if session is not None:
-                session.dispatcher.request_stop(
-                    task.task_id, placement.run, cause
-                )
