Give the site's instances seeds, and wait for its first term (red test)

The platform's settings name seeds for that time; the harness gave none.

Change: the harness waits for the first term, and names the first three instances as seeds, as the platform does. The test itself is unchanged.

--- a/harness/site.py
+++ b/harness/site.py
@@ -23,6 +23,8 @@
 """Path prefix of the queue of each priority."""
 ADVISED_PATH_PREFIX = "/advised/"
 """Path prefix of a queue whose placement advice allows only some workers."""
+FIRST_TERM_TIMEOUT_S = 10.0
+"""Time within which a site that is ready has claimed its first term."""
 
 
 @dataclass
@@ -341,13 +343,23 @@
         return self.find_newest_term()[1]
 
     def find_newest_term(self) -> tuple[int, str]:
-        """Returns the newest term and the instance that claimed it."""
-        return max(
+        """Returns the newest term and the instance that claimed it.
+
+        Instances are ready before the first term is claimed.
+        """
+        deadline_s = time.monotonic() + FIRST_TERM_TIMEOUT_S
+        while not (terms := self._list_terms()):
+            assert time.monotonic() < deadline_s, "no term was claimed"
+            time.sleep(0.05)
+        return max(terms)
+
+    def _list_terms(self) -> list[tuple[int, str]]:
+        return [
             (line["term"], name)
             for name in self.instance_names
             for line in self.read_decision_log(name)
             if line["event"] == "term.claimed"
-        )
+        ]
 
     def _make_settings(self, name: str) -> dict[str, Any]:
         host = self.get_host(name)
@@ -363,6 +375,10 @@
             "advice": f"127.0.3.1:{self.worker_port}",
             "cloud": {"address": f"127.0.3.1:{self.worker_port}"},
             "internal_ports": [self.peer_port, self.peer_port],
+            "seeds": [
+                f"{self.get_host(seed)}:{self.peer_port}"
+                for seed in self.instance_names[:3]
+            ],
             "platform": {"address": store, "keep_s": 20},
             "bounds": {"max_hold_ms": LEASE_MS, "grace_s": 6},
         }
