Order a rate of 0 again while the latency stays high (late paces)

A pace carries no condition that a late one fails within one life of a worker.

Change: while the latency is high, a rate of 0 is ordered again every second.

--- a/lagoonbeam/site/pacing.py
+++ b/lagoonbeam/site/pacing.py
@@ -25,6 +25,10 @@
 """Seconds between two changes on one worker; the reported tail latency covers
 half a second."""
 
+REPEAT_INTERVAL_S = 1.0
+"""Seconds after which a rate of 0 is ordered again while the latency stays
+high: an earlier order that got no answer may have been carried out since."""
+
 StepLookup = Callable[[str], Step | None]
 
 
@@ -38,6 +42,7 @@
     def __init__(self) -> None:
         self._percent_by_run: dict[tuple[str, int], int] = {}
         self._last_change_s = float("-inf")
+        self._ordered_at_s: dict[tuple[str, int], float] = {}
 
     def is_pacing_needed(
         self, running: Iterable[ActiveRun], get: StepLookup
@@ -60,6 +65,7 @@
         running = list(running)
         if not self.is_pacing_needed(running, get):
             self._percent_by_run.clear()
+            self._ordered_at_s.clear()
             return []
         now_s = time.monotonic()
         if now_s - self._last_change_s < MIN_CHANGE_INTERVAL_S:
@@ -78,8 +84,15 @@
             run_key = (run.task_id, run.run)
             percent = self._percent_by_run.get(run_key, 100)
             new_percent = _next_percent(percent, worst_fraction)
-            if new_percent != percent:
+            is_unheeded = (
+                new_percent == 0
+                and worst_fraction > HIGH_LATENCY_FRACTION
+                and now_s - self._ordered_at_s.get(run_key, now_s)
+                > REPEAT_INTERVAL_S
+            )
+            if new_percent != percent or is_unheeded:
                 self._percent_by_run[run_key] = new_percent
+                self._ordered_at_s[run_key] = now_s
                 changes.append((run, new_percent))
         if changes:
             self._last_change_s = now_s
--- a/tests/site/test_pacing.py
+++ b/tests/site/test_pacing.py
@@ -1,5 +1,7 @@
 from __future__ import annotations
 
+from types import SimpleNamespace
+
 import pytest
 
 from lagoonbeam.site import pacing
@@ -56,3 +58,21 @@
     pacer = FillerPacer()
     assert compute_changes(pacer, 120.0) == [50]
     assert compute_changes(pacer, 120.0) == []
+
+
+def test_filler_sped_up_by_a_late_order_is_stopped_again(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """It went on beside a serving task over its target, for good."""
+    now_s = [100.0]
+    monkeypatch.setattr(
+        pacing, "time", SimpleNamespace(monotonic=lambda: now_s[0])
+    )
+    pacer = FillerPacer()
+    assert [compute_changes(pacer, 120.0) for _ in range(3)][-1] == [0]
+    now_s[0] += 0.5
+    assert compute_changes(pacer, 120.0) == []
+    now_s[0] += 0.6
+    assert compute_changes(pacer, 120.0) == [0]
+    now_s[0] += 1.1
+    assert compute_changes(pacer, 75.0) == []
