--- a/tests/site/test_journal_appender.py
+++ b/tests/site/test_journal_appender.py
@@ -1,6 +1,7 @@
 from __future__ import annotations
 
 from collections.abc import Awaitable, Callable, Sequence
+from typing import Any
 
 import anyio
 import pytest
@@ -309,3 +310,42 @@
         assert len(store.records) == 1
 
     anyio.run(main)
+
+
+class LostClaimStore(FakeJournalStore):
+    """Stores the first append, but loses its answer."""
+
+    def _append(self, records: Any, *args: Any) -> int:
+        offset = super()._append(records, *args)
+        if len(self.records) == 1:
+            raise ResponseLostError("no answer")
+        return offset
+
+
+def test_claim_without_an_answer_is_followed_by_a_later_one() -> None:
+    """The term stands in the name of an instance that gave it up."""
+
+    async def main() -> None:
+        store = LostClaimStore()
+        follower = JournalFollower(store, DecisionLog("n0", "z1", descriptor=2))
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(follower.run)
+
+            async def claim() -> tuple[JournalWriter, int] | None:
+                return await claim_term(
+                    store,
+                    follower,
+                    writer_name="scheduler",
+                    instance="n0",
+                    incarnation="n0-1",
+                )
+
+            assert await claim() is None
+            assert await follower.wait_for_offset(1, 2.0)
+            given_up = follower.state.term.number
+            claimed = await claim()
+            tasks.cancel_scope.cancel()
+        assert claimed is not None
+        assert claimed[0].epoch > given_up
+
+    anyio.run(main)
--- a/tests/site/test_late_starts.py
+++ b/tests/site/test_late_starts.py
@@ -18,6 +18,7 @@
     FIRST_RUN,
     JOB_ID,
     OLD_TERM_S,
+    SECOND_RUN,
     WorkerSite,
     play,
 )
@@ -199,6 +200,24 @@
     assert play(monkeypatch, scenario).violations == []
 
 
+def test_late_stop_of_an_earlier_run_does_not_stop_the_next(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def scenario(site: WorkerSite) -> None:
+        worker = await site.run_on_first_worker()
+        site.add_fault(1, "run-stop", delay_s=5.0, count=1)
+        dispatcher = site.scheduler._fleet.sessions["w1"].dispatcher
+        dispatcher.request_stop(*FIRST_RUN, "test")
+        await anyio.sleep(0.5)
+        worker.finish(FIRST_RUN, "stopped")
+        await site.wait_for_begin(worker, SECOND_RUN)
+        await anyio.sleep(6.0)
+        assert site.network.late_calls == 1
+        assert worker.is_running(SECOND_RUN)
+
+    assert play(monkeypatch, scenario).violations == []
+
+
 def test_each_life_of_a_worker_gets_a_higher_token_of_the_same_term() -> None:
     term = get_next_term(0)
     fence = WorkerFence(term)
