Give up a repeated start at a worker that stays unhealthy

A worker that answers polls but refuses starts as unhealthy kept a run whose start had got no answer for good.

Change: the refusal stops the run once no earlier copy can arrive any more.

--- a/lagoonbeam/site/run_dispatcher.py
+++ b/lagoonbeam/site/run_dispatcher.py
@@ -246,7 +246,12 @@
             await self._end_unstarted(
                 task, placement, EndEvidence.START_REFUSED
             )
-        elif reason != "unhealthy":
+            return
+        # Stopping the run now would not let it start elsewhere any sooner.
+        may_succeed_later = reason == "unhealthy" and self.may_start_after(
+            task, time.monotonic()
+        )
+        if not may_succeed_later:
             self._scheduler.on_start_refused(self._worker, task)
 
     def _lose_term_if_current(self, token: int) -> None:
--- a/tests/site/test_late_starts.py
+++ b/tests/site/test_late_starts.py
@@ -128,6 +128,33 @@
     assert play(monkeypatch, scenario).violations == []
 
 
+@pytest.mark.parametrize("recovers", [True, False])
+def test_start_without_an_answer_leaves_a_worker_that_refuses_it(
+    monkeypatch: pytest.MonkeyPatch, recovers: bool
+) -> None:
+    """A worker that stays unhealthy must not keep the run for good."""
+
+    async def scenario(site: WorkerSite) -> None:
+        worker = site.add_worker("w1", 1)
+        await site.start_scheduler()
+        await anyio.sleep(OLD_TERM_S)
+        site.add_fault(1, "run-start", count=1)
+        site.accept_job()
+        while not site.has_sent_start:
+            await anyio.sleep(0.01)
+        site.add_fault(
+            1, "run-start", status=503, count=3 if recovers else 1_000_000
+        )
+        await anyio.sleep(ORDER_DELAY_S)
+        assert (FIRST_RUN in worker.begun) is recovers
+        assert FIRST_RUN not in site.audit.presumed_ends
+        await anyio.sleep(6.0)
+
+    audit = play(monkeypatch, scenario)
+    assert (FIRST_RUN in audit.presumed_ends) is not recovers
+    assert audit.violations == []
+
+
 def test_late_start_of_a_gang_member_does_not_run_twice(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
