--- a/lagoonbeam/site/platform_interface.py
+++ b/lagoonbeam/site/platform_interface.py
@@ -237,7 +237,7 @@
         """Renews the leases of all runs and returns the worker's view.
 
         Args:
-            token: Fencing token, the number of the scheduler's term.
+            token: Fencing token; see `WorkerFence`.
             acked_sequence: Number of the last finished run already recorded;
                 the worker reports only later ones.
             lease_deadline_ms: New end of the leases on the worker's clock, in
@@ -256,7 +256,7 @@
 
         Args:
             order: The run.
-            token: Fencing token, the number of the scheduler's term.
+            token: Fencing token; see `WorkerFence`.
             lease_deadline_ms: End of the lease on the worker's clock, in
                 milliseconds.
 
--- a/lagoonbeam/site/scheduler_callbacks.py
+++ b/lagoonbeam/site/scheduler_callbacks.py
@@ -16,7 +16,8 @@
     """State and callbacks that the active scheduler offers worker sessions.
 
     Attributes:
-        token: Fencing token of the scheduler's term; sent with every command.
+        token: Number of the term, and fencing token of its first orders to
+            each worker.
         lease_terms: Journals which workers' leases the term renews.
     """
 
