--- a/lagoonbeam/site/snapshot.py
+++ b/lagoonbeam/site/snapshot.py
@@ -48,11 +48,24 @@
 
 
 class _StoredJob(msgspec.Struct, array_like=True):
+    """A job.
+
+    Attributes:
+        request: What was accepted.
+        state: Its state.
+        has_started: Whether any of its tasks was placed.
+        units: Units that were ever started.
+        summary: Progress of a job whose units were dropped.
+        end_position: Position in the order of ends; -1 for an open job, and
+            in snapshots of earlier versions.
+    """
+
     request: JobRequest
     state: JobState
     has_started: bool
     units: tuple[_StoredUnit, ...]
     summary: JobSummary | None = None
+    end_position: int = -1
 
 
 class _StoredWave(msgspec.Struct, array_like=True):
@@ -82,11 +95,15 @@
 def encode_state(state: SiteState) -> bytes:
     """Encodes a state."""
     term = state.term
+    end_positions = state.get_end_positions()
     return _ENCODER.encode(
         _StoredState(
             (term.number, term.instance, term.incarnation, term.is_resigned),
             tuple(state.instances.values()),
-            tuple(_encode_job(job) for job in state.jobs.values()),
+            tuple(
+                _encode_job(job, end_positions.get(job.request.job_id, -1))
+                for job in state.jobs.values()
+            ),
             tuple(
                 _StoredWave(
                     number,
@@ -127,6 +144,9 @@
     state.term.is_resigned = is_resigned
     for job in stored.jobs:
         _decode_job(state, job)
+    state.sort_ended_jobs(
+        {job.request.job_id: job.end_position for job in stored.jobs}
+    )
     for wave in stored.waves:
         state.apply(WaveBegun(wave.number, wave.begun_at_s))
         state.waves[wave.number].serviced.update(wave.serviced)
@@ -141,7 +161,7 @@
     return state
 
 
-def _encode_job(job: SiteJob) -> _StoredJob:
+def _encode_job(job: SiteJob, end_position: int) -> _StoredJob:
     units = tuple(
         _encode_unit(unit, position)
         for step_units in job.units.values()
@@ -149,7 +169,12 @@
         if unit.is_done or any(task.run for task in unit.tasks)
     )
     return _StoredJob(
-        job.request, job.state, job.has_started, units, job.summary
+        job.request,
+        job.state,
+        job.has_started,
+        units,
+        job.summary,
+        end_position,
     )
 
 
--- a/lagoonbeam/site/state.py
+++ b/lagoonbeam/site/state.py
@@ -175,6 +175,23 @@
         self.tasks_by_worker[placement.worker][task.task_id] = task
         self.placement_version[placement.worker] += 1
 
+    def get_end_positions(self) -> dict[str, int]:
+        """Returns the position of each ended job in the order of ends.
+
+        Ended jobs are forgotten in this order.
+        """
+        return {
+            job_id: position
+            for position, job_id in enumerate(self._ended_job_ids)
+        }
+
+    def sort_ended_jobs(self, end_positions: dict[str, int]) -> None:
+        """Orders the ended jobs as in the state that they were loaded from."""
+        for job_ids in (self._ended_job_ids, self._uncompacted_job_ids):
+            ordered_ids = sorted(job_ids, key=end_positions.__getitem__)
+            job_ids.clear()
+            job_ids.update(dict.fromkeys(ordered_ids))
+
     def add_compacted_job(self, job: SiteJob) -> None:
         """Adds a compacted job from a snapshot."""
         self.jobs[job.request.job_id] = job
--- a/tests/site/test_state.py
+++ b/tests/site/test_state.py
@@ -290,3 +290,21 @@
         state.jobs["j0"].get_progress()
     )
     assert encode_state(restored) == data
+
+
+def test_replica_from_a_snapshot_forgets_the_same_jobs(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """An accepted job was unknown at one instance and known at others."""
+    state = SiteState()
+    for job_id in "abc":
+        accept_job(state, make_job(job_id))
+    for job_id in "cab":
+        state.apply(JobCancelled(job_id))
+    restored = decode_state(encode_state(state))
+    assert list(restored.jobs) == list(state.jobs)
+    monkeypatch.setattr("lagoonbeam.site.state.MAX_ENDED_JOBS", 2)
+    for replica in (state, restored):
+        accept_job(replica, make_job("d"))
+        replica.apply(JobCancelled("d"))
+    assert set(restored.jobs) == set(state.jobs) == {"b", "d"}
