--- a/lagoonbeam/site/run_dispatcher.py
+++ b/lagoonbeam/site/run_dispatcher.py
@@ -130,6 +130,12 @@
             )
         )
 
+    def may_outlast_leases(self, task: Task) -> bool:
+        """Whether a run may go on now, though all leases have expired."""
+        return self._unanswered_starts.may_outlast_leases(
+            (task.task_id, task.run), self._lease.expires_at_s
+        )
+
     def may_repeat_start(self, task: Task) -> bool:
         """Whether a start was neither confirmed nor followed by a stop."""
         run_key = (task.task_id, task.run)
@@ -203,17 +209,15 @@
             outcome = "started"
         except FencedError:
             outcome = "refused: fence"
-            self._lose_term_if_current(token)
-            await self._handle_refusal(task, placement, "fence", is_repeat)
+            if not self._lose_term_if_current(token):
+                await self._handle_refusal(task, placement, is_repeat)
         except StartNotSentError as error:
             outcome = f"not sent: {error}"
             if not is_repeat:
                 await self._end_unstarted(task, placement, EndEvidence.NOT_SENT)
         except StartRefusedError as refusal:
             outcome = f"refused: {refusal.reason}"
-            await self._handle_refusal(
-                task, placement, refusal.reason, is_repeat
-            )
+            await self._handle_refusal(task, placement, is_repeat)
         except ServerUnreachableError as error:
             outcome = f"not sent: {error}"
         except UnavailableError as error:
@@ -240,30 +244,30 @@
             )
 
     async def _handle_refusal(
-        self, task: Task, placement: Placement, reason: str, is_repeat: bool
+        self, task: Task, placement: Placement, is_repeat: bool
     ) -> None:
-        if not is_repeat:
+        if is_repeat:
+            self._scheduler.on_start_refused(self._worker, task)
+        else:
             await self._end_unstarted(
                 task, placement, EndEvidence.START_REFUSED
             )
-            return
-        # Stopping the run now would not let it start elsewhere any sooner.
-        may_succeed_later = reason == "unhealthy" and self.may_start_after(
-            task, time.monotonic()
-        )
-        if not may_succeed_later:
-            self._scheduler.on_start_refused(self._worker, task)
 
-    def _lose_term_if_current(self, token: int) -> None:
+    def _lose_term_if_current(self, token: int) -> bool:
         """Ends the term if the worker refused its newest token.
 
         A restarted worker refuses orders that were sent before its token was
         raised.
+
+        Returns:
+            Whether the term was ended.
         """
-        if token == self._fence.token:
+        is_current = token == self._fence.token
+        if is_current:
             self._scheduler.lose_term(
                 f"worker {self._worker} has a newer token"
             )
+        return is_current
 
     async def _end_unstarted(
         self, task: Task, placement: Placement, evidence: EndEvidence
--- a/lagoonbeam/site/scheduler.py
+++ b/lagoonbeam/site/scheduler.py
@@ -354,7 +354,6 @@
             await self._termination_recorder.end_runs_on_lost_workers(
                 self._fleet.sessions,
                 self._fleet.pending_starts,
-                self._fleet.unanswered_starts,
                 self._find_lease_expiry_s,
             )
             await self._termination_recorder.end_failed_and_expired_jobs()
--- a/lagoonbeam/site/session.py
+++ b/lagoonbeam/site/session.py
@@ -236,8 +236,8 @@
             self._make_lapse(task)
             for task in self._list_placed_tasks()
             if not self.dispatcher.is_start_pending(task)
-            and not self._unanswered_starts.may_outlast_leases(
-                (task.task_id, task.run), self._lease.expires_at_s
+            and not (  # an unlisted worker is gone, and starts nothing late
+                self.is_listed and self.dispatcher.may_outlast_leases(task)
             )
         ]
         if ends:
@@ -253,8 +253,7 @@
         """Ends the runs of the previous incarnation of a restarted worker.
 
         A run whose start may still be executed late stays placed until the
-        new incarnation has confirmed a stop of it and the start can no longer
-        arrive, as the worker may restart once more.
+        new incarnation has confirmed a stop of it.
         """
         self._decisions.emit(
             Event.WORKER_RESTARTED,
@@ -326,7 +325,7 @@
                 self.dispatcher.request_stop(
                     *run_key, "run not listed by the worker"
                 )
-            elif not self.dispatcher.may_start_after(task, sent_s):
+            else:
                 reason = (
                     RunEndReason.LEASE_EXPIRED
                     if self.dispatcher.may_have_begun(task, self.incarnation)
--- a/lagoonbeam/site/termination.py
+++ b/lagoonbeam/site/termination.py
@@ -31,7 +31,6 @@
     RunsEnded,
 )
 from lagoonbeam.site.state import SiteState
-from lagoonbeam.site.unconfirmed_orders import UnansweredStarts
 
 MAX_ENDS_PER_PASS = 50
 """Failed jobs, and expired ones, that are journaled in one planning pass."""
@@ -136,7 +135,6 @@
         self,
         workers_with_session: Iterable[str],
         pending_starts: Container[RunKey],
-        unanswered_starts: UnansweredStarts,
         find_lease_expiry_s: Callable[[str], float],
     ) -> None:
         """Ends the runs placed on workers that have no session.
@@ -144,30 +142,23 @@
         Args:
             workers_with_session: Names of the workers that have one.
             pending_starts: Runs whose start may not have been sent yet.
-            unanswered_starts: Starts that got no answer.
             find_lease_expiry_s: Returns when all leases on a worker have
                 expired, in monotonic time.
         """
         known_workers = set(workers_with_session)
         tasks_by_worker = self._get_state().tasks_by_worker
-        lease_expiries_s = {
-            worker: find_lease_expiry_s(worker)
-            for worker, tasks in tasks_by_worker.items()
-            if tasks and worker not in known_workers
-        }
         lost_workers = [
             worker
-            for worker, expiry_s in lease_expiries_s.items()
-            if time.monotonic() > expiry_s
+            for worker, tasks in tasks_by_worker.items()
+            if tasks
+            and worker not in known_workers
+            and time.monotonic() > find_lease_expiry_s(worker)
         ]
         ends = [
             RunEnd(task.task_id, task.run, RunEndReason.LEASE_EXPIRED)
             for worker in lost_workers
             for task in tasks_by_worker[worker].values()
             if (task.task_id, task.run) not in pending_starts
-            and not unanswered_starts.may_outlast_leases(
-                (task.task_id, task.run), lease_expiries_s[worker]
-            )
         ]
         if ends:
             self._decisions.emit(
