--- a/tests/site/test_late_starts.py
+++ b/tests/site/test_late_starts.py
@@ -179,6 +179,31 @@
     assert play(monkeypatch, scenario).violations == []
 
 
+def test_gang_stopped_with_a_start_in_doubt_runs_again_at_once(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """It waited until the start could no longer arrive, with room for it."""
+
+    async def scenario(site: WorkerSite) -> None:
+        workers = [site.add_worker(f"w{n}", n) for n in (1, 2)]
+        await site.start_scheduler()
+        await anyio.sleep(OLD_TERM_S)
+        site.add_fault(1, "run-start", delay_s=8.0, count=1)
+        step = Step(count=2, accelerators=8, is_gang=True)
+        site.store.records.append(
+            encode_record(JobAccepted(make_job(JOB_ID, step)))
+        )
+        await anyio.sleep(0.5)
+        site.add_fault(1, "run-start", status=400, count=1)
+        await anyio.sleep(4.5)
+        running = [run for each in workers for run in each.list_running()]
+        assert sorted(running) == [
+            (f"{JOB_ID}.0.0.{index}", 2) for index in range(2)
+        ]
+
+    assert play(monkeypatch, scenario).violations == []
+
+
 def test_start_without_an_answer_outlasts_the_lease_of_a_silent_worker(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
