Let the test of a misdirected stop reach its stop again

Since a start without an answer is repeated rather than stopped, so that test_stop_answered_by_another_worker_is_not_confirmed sent no stop, and its mutation was green (one of 59 of the site; the others were red). The repeat is now refused there; the check is unchanged and the mutation is red.

--- a/tests/site/test_presumed_ends_misdirected.py
+++ b/tests/site/test_presumed_ends_misdirected.py
@@ -79,6 +79,7 @@
         site.add_worker("w1", 1)
         await start_late(site, 4.0)
         site.add_worker("w2", 2)
+        site.add_fault(1, "run-start", status=400, count=1)
         site.add_fault(1, "run-stop", status=421, count=1)
         await anyio.sleep(10.0)
 
