Declare worker speeds and job objectives for the parts to come

Cause: placement, eviction and admission are built side by side and need one interface for the speed of a worker and for when a unit must end. Change: WorkerSpeeds, which still counts all workers as usual, is part of the planner's state; RunTimeEstimator gives the end of a job's objective and the latest end of a unit that leaves time for the steps that follow.

--- a/lagoonbeam/site/planner_state.py
+++ b/lagoonbeam/site/planner_state.py
@@ -15,6 +15,7 @@
 from lagoonbeam.site.release_times import ReleaseTimes
 from lagoonbeam.site.run_time_estimator import RunTimeEstimator
 from lagoonbeam.site.state import SiteState
+from lagoonbeam.site.worker_speed.worker_speeds import WorkerSpeeds
 from lagoonbeam.site.worker_usage import WorkerUsageCache
 
 RESERVATION_TIMEOUT_S = 2.0
@@ -51,6 +52,7 @@
         self.policies = policies or make_policies()
         self.clock = clock or Clock()
         self.estimator = RunTimeEstimator()
+        self.worker_speeds = WorkerSpeeds()
         self.launching_assignments: dict[str, Assignment] = {}
         self.reserved_capacity: dict[str, Reservation] = {}
         self.capacity_holds: dict[str, CapacityHold] = {}
--- a/lagoonbeam/site/run_time_estimator.py
+++ b/lagoonbeam/site/run_time_estimator.py
@@ -43,16 +43,68 @@
 
     def estimate_critical_path_s(self, job: SiteJob) -> float:
         """Returns the expected run time of a job's critical path of steps."""
-        steps = job.request.steps
+        return max(self._list_finish_times_s(job))
+
+    def _list_finish_times_s(self, job: SiteJob) -> list[float]:
+        """Returns when each step ends at the earliest, from its job's start."""
         finish_times_s: list[float] = []
-        for step_number, step in enumerate(steps):
+        for step_number, step in enumerate(job.request.steps):
             unit = job.units[0, step_number][0]
             start_s = max(
                 (finish_times_s[predecessor] for predecessor in step.after),
                 default=0.0,
             )
             finish_times_s.append(start_s + self.estimate_run_s(unit))
-        return max(finish_times_s)
+        return finish_times_s
+
+    def get_objective_end_s(
+        self, unit: PlacementUnit, policy: QueuePolicy
+    ) -> float:
+        """Returns when a unit's job must be completed for its full value.
+
+        Args:
+            unit: A unit of the job; its occurrence counts from its due time.
+            policy: The current policy of its queue.
+
+        Returns:
+            Wall clock time.
+        """
+        job = unit.job
+        eligible_at_s = max(
+            job.request.accepted_at_s, job.due_s(unit.occurrence)
+        )
+        critical_path_s = self.estimate_critical_path_s(job)
+        return (
+            eligible_at_s + policy.stretch * critical_path_s + policy.target_s
+        )
+
+    def get_latest_end_s(
+        self, unit: PlacementUnit, policy: QueuePolicy
+    ) -> float:
+        """Returns when a unit must end so that later steps end in time.
+
+        Args:
+            unit: A ready unit.
+            policy: The current policy of its queue.
+
+        Returns:
+            Wall clock time at which the later steps on the critical path must
+            begin so that the job has its full value.
+        """
+        tails_s = self._list_tails_s(unit.job)
+        return self.get_objective_end_s(unit, policy) - tails_s[unit.step_index]
+
+    def _list_tails_s(self, job: SiteJob) -> list[float]:
+        """Returns the expected run time of what follows each step."""
+        steps = job.request.steps
+        tails_s = [0.0] * len(steps)
+        for index in reversed(range(len(steps))):
+            run_s = self.estimate_run_s(job.units[0, index][0])
+            for predecessor in steps[index].after:
+                tails_s[predecessor] = max(
+                    tails_s[predecessor], run_s + tails_s[index]
+                )
+        return tails_s
 
     def get_job_value(
         self, unit: PlacementUnit, policy: QueuePolicy, now_s: float
