--- /dev/null
+++ b/lagoonbeam/site/configuration_check/__init__.py
@@ -0,0 +1,1 @@
+"""Checks a configuration before it is published."""
--- a/lagoonbeam/site/model.py
+++ b/lagoonbeam/site/model.py
@@ -203,6 +203,7 @@
         limits: Limits on callers' requests.
         spare_services: Pools whose machines are off until moved to another
             pool.
+        services: Names of all declared pools; empty if none are declared.
     """
 
     version: int = 0
@@ -212,6 +213,7 @@
     )
     limits: ServerLimits = ServerLimits()
     spare_services: frozenset[str] = frozenset()
+    services: frozenset[str] = frozenset()
 
     def find_route(self, host: str, path: str) -> QueueRoute | None:
         """Returns the route with the longest matching prefix, if any."""
