Estimate how fast each worker is from the progress of its runs

Cause: workers of one kind run the same task at different speeds, and nothing in the scheduler knows of it. A long run was not told from others before its end, and one raised its queue's mean run time for many runs. Change: each poll brings progress; a two-way model of step and worker compares the runs of one step on several workers and, for steps on one worker, those of a queue. Speeds stay usual until workers differ by more than their runs do. Release times follow from the progress of a run, run time means are at the usual speed, and a single run counts for three times the mean at most.

--- a/lagoonbeam/site/events.py
+++ b/lagoonbeam/site/events.py
@@ -56,6 +56,11 @@
     WORKER_SESSION_FAILED = "worker.session_failed"
     """The session with a worker failed because of a fault in the program; a
     new one is opened."""
+    WORKER_SPEED_CHANGED = "worker.speed_changed"
+    """The estimated speeds of workers changed; the new ones of the first."""
+    PROGRESS_IGNORED = "run.progress_ignored"
+    """A worker reported progress of a run that cannot be right; logged once
+    for each worker."""
     ZONES_EVACUATED = "zones.evacuated"
     """The zones that operators evacuate changed; their workers get no runs."""
     ADVICE_GIVEN = "advice.given"
--- a/lagoonbeam/site/jobs.py
+++ b/lagoonbeam/site/jobs.py
@@ -85,6 +85,13 @@
         """Run number for the next start, shared by all tasks."""
         return max(task.run for task in self.tasks) + 1
 
+    def mark_done(self) -> None:
+        """Records that all work of the unit is done."""
+        for task in self.tasks:
+            task.is_done = True
+        self.is_done = True
+        self.job.unfinished_unit_count -= 1
+
 
 class StepProgress(msgspec.Struct, frozen=True, array_like=True):
     """Progress of one step of one occurrence.
--- a/lagoonbeam/site/journal_follower.py
+++ b/lagoonbeam/site/journal_follower.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import secrets
-from collections.abc import Sequence
+from collections.abc import Awaitable, Callable, Sequence
 
 import anyio
 
@@ -33,6 +33,9 @@
 from lagoonbeam.site.state import SiteState
 from lagoonbeam.types import Offset
 
+SNAPSHOT_CHECK_INTERVAL_S = 1.0
+"""Interval at which the age of the newest snapshot is checked; also the delay
+before a failed one is repeated."""
 READ_WAIT_S = 0.5
 """Seconds one read waits for a record; limits how stale the replica gets. The
 active scheduler's term renewals end most reads earlier."""
@@ -180,6 +183,24 @@
         self.offset += len(records)
         self._notify_waiters()
 
+    async def save_snapshots(
+        self,
+        interval_s: float,
+        append_records: Callable[[Sequence[Record]], Awaitable[bool]],
+    ) -> None:
+        """Saves snapshots at an interval and journals them, until cancelled."""
+        while True:
+            if self.is_snapshot_due(interval_s):
+                try:
+                    offset = await self.save_snapshot()
+                except LagoonbeamError as error:
+                    self._decisions.emit(
+                        Event.SNAPSHOT_FAILED, cause=str(error)
+                    )
+                else:
+                    await append_records([SnapshotSaved(offset)])
+            await anyio.sleep(SNAPSHOT_CHECK_INTERVAL_S)
+
     async def save_snapshot(self) -> Offset:
         """Stores a snapshot of the replica; returns its offset."""
         offset = self.offset
--- a/lagoonbeam/site/metrics.py
+++ b/lagoonbeam/site/metrics.py
@@ -85,6 +85,9 @@
         )
         self.running_tasks = gauge("running_tasks", "Runs that may exist.")
         self.usable_workers = gauge("usable_workers", "While active.")
+        self.workers_by_speed = gauge(
+            "workers_by_speed", "Workers known, while active.", "speed"
+        )
 
     def render(self) -> bytes:
         """Returns all metrics in the Prometheus text format."""
--- a/lagoonbeam/site/planner_state.py
+++ b/lagoonbeam/site/planner_state.py
@@ -15,6 +15,8 @@
 from lagoonbeam.site.release_times import ReleaseTimes
 from lagoonbeam.site.run_time_estimator import RunTimeEstimator
 from lagoonbeam.site.state import SiteState
+from lagoonbeam.site.worker_speed.run_progress import RunProgressTracker
+from lagoonbeam.site.worker_speed.speed_log import SpeedLog
 from lagoonbeam.site.worker_speed.worker_speeds import WorkerSpeeds
 from lagoonbeam.site.worker_usage import WorkerUsageCache
 
@@ -51,12 +53,20 @@
     ):
         self.policies = policies or make_policies()
         self.clock = clock or Clock()
-        self.estimator = RunTimeEstimator()
-        self.worker_speeds = WorkerSpeeds()
+        speed_log = SpeedLog(decisions)
+        self.worker_speeds = WorkerSpeeds(speed_log.report_change)
+        self.run_progress = RunProgressTracker(speed_log.report_invalid)
+        self.estimator = RunTimeEstimator(
+            lambda worker: self.worker_speeds.get_speed(worker)
+        )
         self.launching_assignments: dict[str, Assignment] = {}
         self.reserved_capacity: dict[str, Reservation] = {}
         self.capacity_holds: dict[str, CapacityHold] = {}
-        self.release_times = ReleaseTimes(self.estimator.estimate_run_s)
+        self.release_times = ReleaseTimes(
+            self.estimator.estimate_run_s,
+            self.run_progress,
+            lambda worker: self.worker_speeds.get_speed(worker),
+        )
         self.tried_unit_keys: set[str] = set()
         self.usage_cache = WorkerUsageCache()
         self.decisions = decisions
--- a/lagoonbeam/site/records.py
+++ b/lagoonbeam/site/records.py
@@ -218,6 +218,19 @@
     ends: tuple[RunEnd, ...]
 
 
+class SpeedsEstimated(_Record, frozen=True, tag="speeds"):
+    """Estimates of the active scheduler changed.
+
+    Attributes:
+        speeds: Speed of each worker that has changed; 1 is the usual one.
+        run_times_s: Mean run time at the usual speed of each queue that has
+            changed.
+    """
+
+    speeds: dict[str, float] = {}
+    run_times_s: dict[str, float] = {}
+
+
 Record: TypeAlias = (
     InstanceJoined
     | JobAccepted
@@ -236,6 +249,7 @@
     | SnapshotSaved
     | RunsPlaced
     | RunsEnded
+    | SpeedsEstimated
 )
 
 _ENCODER = msgspec.msgpack.Encoder()
--- a/lagoonbeam/site/run_time_estimator.py
+++ b/lagoonbeam/site/run_time_estimator.py
@@ -3,12 +3,17 @@
 from __future__ import annotations
 
 import enum
+from collections.abc import Callable, Iterable, Mapping
 
 from lagoonbeam.site.jobs import PlacementUnit, SiteJob
 from lagoonbeam.site.model import QueuePolicy
 
 NEWEST_RUN_WEIGHT = 0.15
 """Weight of the newest run in a queue's exponential moving average."""
+LONG_RUN_FACTOR = 3.0
+"""Multiple of a queue's mean that a single run counts for at most."""
+EARLY_RUNS = 5
+"""Runs during which the first ones of a queue may have been long ones."""
 DEFAULT_RUN_TIME_S = 5.0
 """Run time assumed where neither a past run nor an estimate is known."""
 VALUE_CUTOFF_FACTOR = 3.0
@@ -25,18 +30,71 @@
 
 
 class RunTimeEstimator:
-    """Estimates run times from a moving average for each queue."""
+    """Estimates run times from a moving average for each queue.
 
-    def __init__(self) -> None:
+    The averages are run times at the usual speed of workers.
+
+    Args:
+        get_speed: Returns the speed of a worker; all are usual if None.
+    """
+
+    def __init__(self, get_speed: Callable[[str], float] | None = None):
+        self._get_speed = get_speed or (lambda worker: 1.0)
         self._mean_run_s: dict[str, float] = {}
+        self._run_counts: dict[str, int] = {}
+
+    def load(self, run_times_s: Mapping[str, float]) -> None:
+        """Starts from the averages of an earlier term, by queue."""
+        self._mean_run_s.update(run_times_s)
+        self._run_counts.update(dict.fromkeys(run_times_s, EARLY_RUNS))
+
+    def get_run_times_s(self) -> Mapping[str, float]:
+        """Returns the average run time at the usual speed, by queue."""
+        return self._mean_run_s
+
+    def record_run(
+        self, queue: str, run_s: float, workers: Iterable[str] = ()
+    ) -> None:
+        """Adds a finished run to its queue's moving average.
 
-    def record_run(self, queue: str, run_s: float) -> None:
-        """Adds a finished run to its queue's moving average."""
-        mean_s = self._mean_run_s.get(queue, run_s)
-        self._mean_run_s[queue] = mean_s + NEWEST_RUN_WEIGHT * (run_s - mean_s)
+        A few runs take many times as long as the others; one of them does not
+        tell how long the next run takes.
+
+        Args:
+            queue: The queue.
+            run_s: Run time.
+            workers: Workers of the run; the slowest has determined its time.
+        """
+        usual_run_s = run_s * self._find_slowest_speed(workers)
+        count = self._run_counts.get(queue, 0)
+        mean_s = self._mean_run_s.get(queue, usual_run_s)
+        if count < EARLY_RUNS and usual_run_s * LONG_RUN_FACTOR < mean_s:
+            mean_s = usual_run_s
+        counted_s = min(usual_run_s, LONG_RUN_FACTOR * mean_s)
+        self._run_counts[queue] = min(count + 1, EARLY_RUNS)
+        self._mean_run_s[queue] = mean_s + NEWEST_RUN_WEIGHT * (
+            counted_s - mean_s
+        )
+
+    def estimate_run_on_s(
+        self, unit: PlacementUnit, workers: Iterable[str]
+    ) -> float:
+        """Returns the expected run time of a unit on given workers.
+
+        Args:
+            unit: The unit.
+            workers: Its workers; a gang is as slow as the slowest of them.
+        """
+        return self.estimate_run_s(unit) / self._find_slowest_speed(workers)
+
+    def _find_slowest_speed(self, workers: Iterable[str]) -> float:
+        return min(map(self._get_speed, workers), default=1.0)
 
     def estimate_run_s(self, unit: PlacementUnit) -> float:
-        """Returns the expected run time of a unit with local placement."""
+        """Returns the expected run time of a unit with local placement.
+
+        This is the run time at the usual speed of workers.
+        """
         queue = unit.job.request.queue.name
         mean_s = self._mean_run_s.get(queue)
         return mean_s or unit.spec.estimated_s or DEFAULT_RUN_TIME_S
--- a/lagoonbeam/site/scheduler.py
+++ b/lagoonbeam/site/scheduler.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import time
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
 
 import anyio
 import anyio.abc
@@ -22,6 +22,7 @@
 from lagoonbeam.site.machine_fences import MachineFences
 from lagoonbeam.site.machines import TermHolder
 from lagoonbeam.site.model import (
+    ActiveRun,
     Configuration,
     EndEvidence,
     QueuePolicy,
@@ -39,7 +40,6 @@
 from lagoonbeam.site.records import (
     Record,
     RunEnd,
-    SnapshotSaved,
     TermRenewed,
     TermResigned,
 )
@@ -50,6 +50,7 @@
 from lagoonbeam.site.time_limits import PlatformTimeLimits
 from lagoonbeam.site.upkeep import UpkeepController
 from lagoonbeam.site.worker_capacity import get_step_id
+from lagoonbeam.site.worker_speed.speed_monitor import SpeedMonitor
 from lagoonbeam.types import InstanceName
 
 MAX_PLAN_INTERVAL_S = 0.25
@@ -60,9 +61,6 @@
 """Shortest interval between two planning passes; batches changes in between."""
 SNAPSHOT_FRACTION = 0.25
 """Fraction of the store's retention time between two snapshots."""
-SNAPSHOT_CHECK_INTERVAL_S = 1.0
-"""Interval at which the age of the newest snapshot is checked; also the delay
-before a failed one is repeated."""
 
 
 class Scheduler:
@@ -137,6 +135,12 @@
             record_run_ends=self.record_run_ends,
             decisions=decisions,
         )
+        self._speed_monitor = SpeedMonitor(
+            lambda: self.state,
+            self._planner_state,
+            self._fleet.sessions,
+            self._append_to_journal,
+        )
         self._shortage_tracker = ShortageTracker()
         self._machine_controllers = self._make_machine_controllers(
             platform_services, TermHolder(instance, writer.epoch)
@@ -214,8 +218,14 @@
             with self._cancel_scope:
                 task_group.start_soon(self._run_appender)
                 task_group.start_soon(self._renew_term)
-                task_group.start_soon(self._save_snapshots)
+                task_group.start_soon(
+                    self._follower.save_snapshots,
+                    self._time_limits.store_retention_s * SNAPSHOT_FRACTION,
+                    self._append_to_journal,
+                )
                 task_group.start_soon(self.lease_terms.run)
+                self._speed_monitor.load()
+                task_group.start_soon(self._speed_monitor.run)
                 task_group.start_soon(self._fleet.run)
                 task_group.start_soon(self._watch_journal)
                 task_group.start_soon(self._advice.run)
@@ -271,8 +281,7 @@
         if end is RunEndReason.DONE:
             self._fleet.health.record_outcome(worker, job_id, ok=True)
             if run_s is not None:
-                queue = task.unit.job.request.queue.name
-                self._planner_state.estimator.record_run(queue, run_s)
+                self._speed_monitor.observe_end(worker, task, run_s)
         elif end is RunEndReason.FAILED:
             self._fleet.health.record_outcome(worker, job_id, ok=False)
             self._planner_state.avoid_worker(task.unit, worker)
@@ -289,6 +298,12 @@
         self._planner_state.avoid_worker(task.unit, worker)
         self._fleet.stop_unit(task.unit, f"no progress at worker {worker}")
 
+    def on_progress(
+        self, worker: str, running: Mapping[str, ActiveRun]
+    ) -> None:
+        """Updates the estimated speed of a worker after a poll."""
+        self._speed_monitor.observe_progress(worker, running)
+
     def repeat_start(self, task: Task) -> bool:
         """Repeats a start; see `SchedulerCallbacks.repeat_start`."""
         return self._task_group is not None and self._launcher.repeat_start(
@@ -317,21 +332,6 @@
             await self._append_to_journal([TermRenewed(self.token)])
             await anyio.sleep(TERM_RENEWAL_INTERVAL_S)
 
-    async def _save_snapshots(self) -> None:
-        interval_s = self._time_limits.store_retention_s * SNAPSHOT_FRACTION
-        while True:
-            if self._follower.is_snapshot_due(interval_s):
-                await self._save_snapshot()
-            await anyio.sleep(SNAPSHOT_CHECK_INTERVAL_S)
-
-    async def _save_snapshot(self) -> None:
-        try:
-            offset = await self._follower.save_snapshot()
-        except LagoonbeamError as error:
-            self._decisions.emit(Event.SNAPSHOT_FAILED, cause=str(error))
-        else:
-            await self._append_to_journal([SnapshotSaved(offset)])
-
     async def _watch_advice(self) -> None:
         while True:
             await self._advice.changed.wait()
--- a/lagoonbeam/site/scheduler_callbacks.py
+++ b/lagoonbeam/site/scheduler_callbacks.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from typing import Protocol
 
 from lagoonbeam.site.jobs import Task
-from lagoonbeam.site.model import EndEvidence, RunEndReason
+from lagoonbeam.site.model import ActiveRun, EndEvidence, RunEndReason
 from lagoonbeam.site.prior_leases import LeaseTermRecorder
 from lagoonbeam.site.records import RunEnd
 from lagoonbeam.site.state import SiteState
@@ -77,6 +77,16 @@
             run_s: Run time, or None if this scheduler saw no start of the run.
         """
 
+    def on_progress(
+        self, worker: str, running: Mapping[str, ActiveRun]
+    ) -> None:
+        """Updates the estimated speed of a worker after a poll.
+
+        Args:
+            worker: The worker.
+            running: The runs that it reports, by task.
+        """
+
     def repeat_start(self, task: Task) -> bool:
         """Sends the start of a placed task again, unless it is too early.
 
--- a/lagoonbeam/site/session.py
+++ b/lagoonbeam/site/session.py
@@ -300,6 +300,7 @@
     async def _process_reply(self, reply: PollReply, sent_s: float) -> None:
         self.running = {task.task_id: task for task in reply.running}
         self._stalled_runs.handle(self.running)
+        self._scheduler.on_progress(self.worker, self.running)
         if not self.has_been_polled:
             self.has_been_polled = True
             self._scheduler.on_worker_usable(self.worker)
--- a/lagoonbeam/site/snapshot.py
+++ b/lagoonbeam/site/snapshot.py
@@ -12,6 +12,7 @@
     JobAccepted,
     MachineMoved,
     Placement,
+    SpeedsEstimated,
     TermClaimed,
     WaveBegun,
 )
@@ -86,6 +87,7 @@
     renewal_count: int = 0
     renewals_at_claim: dict[int, int] = {}
     cancelled_ids: tuple[str, ...] = ()
+    speed_estimates: SpeedsEstimated = SpeedsEstimated()
 
 
 _ENCODER = msgspec.msgpack.Encoder()
@@ -122,6 +124,9 @@
             state.renewal_count,
             state.renewals_at_claim,
             tuple(state.cancelled_ids),
+            SpeedsEstimated(
+                state.speed_estimates.speeds, state.speed_estimates.run_times_s
+            ),
         )
     )
 
@@ -158,6 +163,7 @@
     state.renewal_count = stored.renewal_count
     state.renewals_at_claim = dict(stored.renewals_at_claim)
     state.cancelled_ids = dict.fromkeys(stored.cancelled_ids)
+    state.apply(stored.speed_estimates)
     return state
 
 
--- a/lagoonbeam/site/state.py
+++ b/lagoonbeam/site/state.py
@@ -27,6 +27,7 @@
     RunEnd,
     RunsEnded,
     RunsPlaced,
+    SpeedsEstimated,
     TermClaimed,
     TermRenewed,
     TermResigned,
@@ -34,7 +35,12 @@
     WaveBegun,
     WaveCompleted,
 )
-from lagoonbeam.site.state_model import MachineLoan, Term, WaveProgress
+from lagoonbeam.site.state_model import (
+    MachineLoan,
+    SpeedEstimates,
+    Term,
+    WaveProgress,
+)
 from lagoonbeam.types import OrganisationName
 
 MAX_ENDED_JOBS = 4_000
@@ -59,6 +65,7 @@
         renewal_count: Number of renewals of terms, without the first of each.
         renewals_at_claim: That number at the claim of each of the newest
             terms.
+        speed_estimates: Estimates from which the next scheduler starts.
         placement_version: For each worker, the number of changes to the
             tasks placed on it.
     """
@@ -77,6 +84,7 @@
         self.completed_waves: set[int] = set()
         self.lent_machines: dict[str, MachineLoan] = {}
         self.placement_version: dict[str, int] = defaultdict(int)
+        self.speed_estimates = SpeedEstimates()
         self._open_jobs: dict[str, SiteJob] = {}
         self._waiting_units: dict[str, PlacementUnit] = {}
         self._ended_job_ids: dict[str, None] = {}
@@ -346,6 +354,11 @@
             job.state = JobState.RUNNING
 
 
+@_apply_record.register
+def _(record: SpeedsEstimated, state: SiteState) -> None:
+    state.speed_estimates.update(record.speeds, record.run_times_s)
+
+
 @_apply_record.register
 def _(record: RunsEnded, state: SiteState) -> None:
     for end in record.ends:
@@ -379,12 +392,8 @@
         or unit.spec.is_long_running
     ):
         return
-    for member in unit.tasks:
-        member.is_done = True
-        if unit.spec.is_gang:
-            state.clear_placement(member)
-    unit.is_done = True
-    job = unit.job
-    job.unfinished_unit_count -= 1
-    if job.unfinished_unit_count == 0:
-        state.end_job(job, JobState.COMPLETED)
+    unit.mark_done()
+    for member in unit.tasks if unit.spec.is_gang else ():
+        state.clear_placement(member)
+    if unit.job.unfinished_unit_count == 0:
+        state.end_job(unit.job, JobState.COMPLETED)
--- a/lagoonbeam/site/state_model.py
+++ b/lagoonbeam/site/state_model.py
@@ -2,8 +2,15 @@
 
 from __future__ import annotations
 
+import math
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 
+MAX_WORKER_SPEEDS = 2_000
+"""Workers whose speed is kept; those unchanged for longest are dropped."""
+MAX_QUEUE_RUN_TIMES = 500
+"""Queues whose run time is kept, likewise."""
+
 
 @dataclass(slots=True)
 class Term:
@@ -50,3 +57,40 @@
 
     pool: str
     home: str
+
+
+@dataclass(slots=True)
+class SpeedEstimates:
+    """Estimates by the active scheduler from which the next one starts.
+
+    Attributes:
+        speeds: Speed of each known worker, those unchanged for longest first.
+        run_times_s: Mean run time at the usual speed of each queue, likewise.
+    """
+
+    speeds: dict[str, float] = field(default_factory=dict)
+    run_times_s: dict[str, float] = field(default_factory=dict)
+
+    def update(
+        self, speeds: Mapping[str, float], run_times_s: Mapping[str, float]
+    ) -> None:
+        """Stores estimates that have changed; drops the oldest beyond limits.
+
+        Args:
+            speeds: Speed by worker.
+            run_times_s: Run time by queue.
+        """
+        _store_newest(self.speeds, speeds, MAX_WORKER_SPEEDS)
+        _store_newest(self.run_times_s, run_times_s, MAX_QUEUE_RUN_TIMES)
+
+
+def _store_newest(
+    known: dict[str, float], changed: Mapping[str, float], limit: int
+) -> None:
+    """Stores positive finite values at the end of a dictionary."""
+    for name, value in changed.items():
+        if 0 < value < math.inf:
+            known.pop(name, None)
+            known[name] = value
+    while len(known) > limit:
+        del known[next(iter(known))]
--- /dev/null
+++ b/lagoonbeam/site/worker_speed/speed_levels.py
@@ -0,0 +1,106 @@
+"""Levels of speed that the evidence about workers supports."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Mapping
+
+from lagoonbeam.site.worker_speed.speed_model import Effect, Fit
+from lagoonbeam.types import WorkerName
+
+LEVEL_RATIO = 1.25
+"""Ratio of two neighbouring levels of speed."""
+MAX_LEVEL = 8
+"""Highest level, and the lowest with its sign changed."""
+LEVEL_HYSTERESIS = 0.65
+"""Distance, in levels, at which a worker leaves its level."""
+MIN_WORKERS = 6
+"""Workers that must be known before their spread is judged."""
+SPREAD_LIMIT = 0.35
+"""Logarithm of the ratio of variances from which workers may differ."""
+SPREAD_DEVIATIONS = 4.5
+"""Standard errors of that logarithm that are added to the limit."""
+SPREAD_HYSTERESIS = 0.4
+"""Share of the limit below which workers count as equal again."""
+MIN_SPREAD_RATIO = 1e-9
+"""Ratio of variances that is assumed at least, to take its logarithm."""
+MIN_SCORE = 1.5
+"""Standard errors from the usual speed if workers are known to differ."""
+MIN_LONE_SCORE = 6.0
+"""Standard errors from the usual speed if the other workers are equal."""
+MIN_LONE_LOG_SPEED = 0.3
+"""Distance from the usual speed if the other workers are equal."""
+MIN_LONE_STEPS = 3
+"""Steps that must have run on a worker if the other workers are equal."""
+
+
+def get_level_speed(level: int) -> float:
+    """Returns the speed of a level; that of level 0 is the usual one."""
+    return LEVEL_RATIO**level
+
+
+def is_spread_significant(fit: Fit, *, was_significant: bool) -> bool:
+    """Whether the workers as a whole differ by more than their runs do.
+
+    Args:
+        fit: The fitted effects.
+        was_significant: The answer by the last fit.
+    """
+    spread = fit.spread
+    if len(fit.effects) < MIN_WORKERS or not math.isfinite(
+        spread.standard_error
+    ):
+        return was_significant
+    limit = SPREAD_LIMIT + SPREAD_DEVIATIONS * spread.standard_error
+    return math.log(max(spread.ratio, MIN_SPREAD_RATIO)) > (
+        SPREAD_HYSTERESIS * limit if was_significant else limit
+    )
+
+
+def find_levels(
+    fit: Fit, previous: Mapping[WorkerName, int], *, is_spread: bool
+) -> dict[WorkerName, int]:
+    """Returns the levels of the workers that are not at the usual speed.
+
+    Args:
+        fit: The fitted effects.
+        previous: The levels by the last fit.
+        is_spread: Whether the workers as a whole differ.
+    """
+    worker_variance = fit.spread.worker_variance
+    levels = {
+        worker: _round_to_level(
+            _find_supported_log_speed(effect, worker_variance)
+            if is_spread
+            else _find_lone_log_speed(effect),
+            previous.get(worker, 0),
+        )
+        for worker, effect in fit.effects.items()
+    }
+    return {worker: level for worker, level in levels.items() if level}
+
+
+def _find_supported_log_speed(effect: Effect, worker_variance: float) -> float:
+    """Returns the log speed that is expected, given the spread of workers."""
+    trust = worker_variance / (worker_variance + 1.0 / effect.precision)
+    log_speed = trust * effect.log_speed
+    standard_error = math.sqrt(trust / effect.precision)
+    return log_speed if abs(log_speed) >= MIN_SCORE * standard_error else 0.0
+
+
+def _find_lone_log_speed(effect: Effect) -> float:
+    """Returns the log speed of a worker that differs from equal ones."""
+    is_significant = (
+        effect.step_count >= MIN_LONE_STEPS
+        and abs(effect.log_speed) >= MIN_LONE_LOG_SPEED
+        and abs(effect.log_speed) * math.sqrt(effect.precision)
+        >= MIN_LONE_SCORE
+    )
+    return effect.log_speed if is_significant else 0.0
+
+
+def _round_to_level(log_speed: float, previous: int) -> int:
+    exact = log_speed / math.log(LEVEL_RATIO)
+    if log_speed and abs(exact - previous) < LEVEL_HYSTERESIS:
+        return previous
+    return max(-MAX_LEVEL, min(MAX_LEVEL, round(exact)))
