Keep the tasks of a moved zone worker until its leases expire

Cause: an outdated entry of a worker may have the URL that another one has now. The reply of its incarnation was taken as a restart, and the tasks of the worker ended at once, while they were at work.

Change: after a change of the URL, another incarnation ends no task before all leases that were granted at earlier URLs have expired.

Measured: tests/test_zone_worker_replies.py and the zone scheduler's tests pass; without the change the first fails.

--- a/lagoonbeam/scheduler/worker_link.py
+++ b/lagoonbeam/scheduler/worker_link.py
@@ -63,6 +63,7 @@
         self.reachable = False
         self.leaving = False
         self._last_renewal_s = time.monotonic()
+        self._earlier_url_leases_expire_at_s = float("-inf")
         self._term = term
         self._last_revision = -1
         self._list_renewable_attempts = list_renewable_attempts
@@ -87,10 +88,30 @@
         A renewal that was not answered may still have reached the worker, up
         to the time-out of its request after it was sent.
         """
+        since_renewal_s = time.monotonic() - self._last_renewal_s
+        return since_renewal_s > self._longest_lease_s
+
+    @property
+    def have_leases_at_earlier_urls_expired(self) -> bool:
+        """Whether every lease granted at earlier URLs of the worker expired.
+
+        Until then, another incarnation at the present URL does not show that
+        an earlier one has ended: the URL may be another worker's.
+        """
+        return time.monotonic() > self._earlier_url_leases_expire_at_s
+
+    @property
+    def _longest_lease_s(self) -> float:
+        """Longest time from sending a command to the end of its lease."""
         settings = self.driver.settings
         in_flight_s = settings.sync_wait_s + settings.command_timeout_s
-        since_renewal_s = time.monotonic() - self._last_renewal_s
-        return since_renewal_s > settings.lease_s + in_flight_s
+        return settings.lease_s + in_flight_s
+
+    def record_url_change(self) -> None:
+        """Records that commands were sent to another URL until now."""
+        self._earlier_url_leases_expire_at_s = (
+            time.monotonic() + self._longest_lease_s
+        )
 
     async def run(self) -> None:
         """Synchronises until cancelled."""
--- a/lagoonbeam/scheduler/worker_reports.py
+++ b/lagoonbeam/scheduler/worker_reports.py
@@ -59,7 +59,8 @@
         changed_gangs = {
             gang.attempt: gang
             for gang in self._term_state.list_gangs_on_worker(link.name)
-            if self._mark_members_lost(gang, link.name, reply.incarnation)
+            if link.have_leases_at_earlier_urls_expired
+            and self._mark_members_lost(gang, link.name, reply.incarnation)
         }
         for report in reply.tasks:
             gang = self._apply_report(link, report)
--- a/lagoonbeam/scheduler/zone_scheduler.py
+++ b/lagoonbeam/scheduler/zone_scheduler.py
@@ -346,6 +346,8 @@
             on_no_response=self._report_handler.handle_no_response,
             on_stale_term=self._on_stale_term,
         )
+        if entry.name in self._term_state.worker_links:
+            link.record_url_change()
         self._term_state.worker_links[entry.name] = link
         scope = anyio.CancelScope()
         self._link_scopes[entry.name] = scope
