Serialise the restart and the removal of an instance in the soak

Cause: a fault restarts a killed instance in a thread; another fault removes the instance meanwhile, and its settings are looked up again (KeyError).

Change: both hold a lock of the instance. The removal drains what the restart has started.

Measured: the new test fails before (KeyError) and passes now.

--- a/harness/soak_faults.py
+++ b/harness/soak_faults.py
@@ -54,6 +54,8 @@
         cut_routes: Routes that are cut at present.
         replacement_count: Number of instances started as replacements.
         replaced_instances: Instances that are, or have been, replaced.
+        removal_locks: Held while an instance is restarted, or drained and
+            removed; by name.
     """
 
     cluster: Cluster
@@ -70,6 +72,9 @@
     cut_routes: set[tuple[str, str]] = field(default_factory=set)
     replacement_count: int = 0
     replaced_instances: set[str] = field(default_factory=set)
+    removal_locks: dict[str, asyncio.Lock] = field(
+        default_factory=lambda: collections.defaultdict(asyncio.Lock)
+    )
     drain_exit_codes: list[int] = field(default_factory=list)
 
 
@@ -102,8 +107,11 @@
     run: SoakRun, name: str, **scheduler_overrides: Any
 ) -> None:
     """Restarts a killed instance, unless it was replaced meanwhile."""
-    if name in run.cluster.instances:
-        await in_thread(run.cluster.start_instance, name, **scheduler_overrides)
+    async with run.removal_locks[name]:
+        if name in run.cluster.instances:
+            await in_thread(
+                run.cluster.start_instance, name, **scheduler_overrides
+            )
 
 
 async def apply_cuts(run: SoakRun) -> None:
@@ -207,11 +215,12 @@
     ports = reserve_free_ports(2)
     await in_thread(run.cluster.add_instance, new, old.zone, *ports)
     await asyncio.sleep(3)
-    if run.cluster.is_running(f"{name}-scheduler"):
-        run.cluster.mark_instance_leaving(name)
-        codes = await in_thread(run.cluster.drain_instance, name)
-        run.drain_exit_codes += codes
-    await in_thread(run.cluster.remove_instance, name)
+    async with run.removal_locks[name]:
+        if run.cluster.is_running(f"{name}-scheduler"):
+            run.cluster.mark_instance_leaving(name)
+            codes = await in_thread(run.cluster.drain_instance, name)
+            run.drain_exit_codes += codes
+        await in_thread(run.cluster.remove_instance, name)
 
 
 @register_fault
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -7,6 +7,7 @@
 import random
 import subprocess
 import sys
+import time
 from types import SimpleNamespace
 from typing import Any
 
@@ -90,6 +91,10 @@
     assert find_shown_s(down, 51.0) == 58.0
 
 
+async def skip_sleep(delay_s: float) -> None:
+    """Replaces `asyncio.sleep`."""
+
+
 def make_run() -> tuple[FakeCluster, soak_faults.SoakRun]:
     cluster = FakeCluster()
     fake: Any = cluster
@@ -103,6 +108,27 @@
     assert not cluster.instances
 
 
+def test_instance_removed_while_it_restarts_does_not_end_the_run() -> None:
+    """Its settings were looked up again after it had been removed."""
+    cluster, run = make_run()
+
+    def start_slowly(name: str) -> None:
+        time.sleep(0.2)
+        assert cluster.instances[name]
+
+    async def restart_and_replace() -> None:
+        await asyncio.gather(
+            soak_faults.restart_unless_removed(run, "z1-0"),
+            soak_faults.instance_replaced(run),
+        )
+
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(cluster, "start_instance", start_slowly)
+        patch.setattr(soak_faults.asyncio, "sleep", skip_sleep)
+        asyncio.run(restart_and_replace())
+    assert list(cluster.instances) == ["z1-r1"]
+
+
 def test_two_replacements_of_one_instance_do_not_end_the_run() -> None:
     cluster, run = make_run()
 
