Release the work of silent workers sooner, and close silent zones

Cause: a lease lasted max_hold_ms, 10 s on some sites, so that urgent gangs on the workers of a zone that went dark for 5 s earned nothing. Starts were sent to the zone until each worker had missed two polls.

Change: a lease lasts 4 s where only short runs are placed and 6 s elsewhere, and the longest while the store, the term or the renewals are in doubt; sites whose longest lease is 6 s or less keep it. A run that may have begun on a life of the worker whose clock began anew is bounded by the longest lease. A zone three of whose workers and a quarter of whom are silent, three times as many as elsewhere, gets no runs on a worker until that has answered a poll again; a worker with a start without an answer likewise.

Two mutations follow the code that moved; they change the same conditions.

--- a/harness/incident_mutations.py
+++ b/harness/incident_mutations.py
@@ -10,7 +10,8 @@
         "lagoonbeam/site/session.py",
         "            if (task.task_id, task.run) not in listed_runs\n"
         "            and not reply.is_truncated\n"
-        "            and self._has_begun_before(task, sent_s)",
+        "            and self.dispatcher.has_begun_before("
+        "task, sent_s, self.running)",
         "            if True",
         "tests/site/test_session.py"
         "::test_end_listed_after_a_restart_is_not_recorded_as_lapsed",
@@ -33,8 +34,8 @@
     ),
     Mutation(
         "site: a term is recorded before it renews a lease",
-        "lagoonbeam/site/session.py",
-        "            and self._is_lease_term_recorded()\n",
+        "lagoonbeam/site/silent_workers/lease_renewer.py",
+        "            and self.is_term_recorded\n",
         "",
         "tests/site/test_session.py"
         "::test_no_lease_is_renewed_before_its_term_is_journaled",
--- a/harness/presumed_end_mutations.py
+++ b/harness/presumed_end_mutations.py
@@ -100,11 +100,9 @@
     ),
     Mutation(
         "site: failed polls end no start that is being journaled",
-        "lagoonbeam/site/session.py",
-        "            for task in self._list_placed_tasks()\n"
-        "            if not self.dispatcher.is_start_pending(task)\n"
-        "            and",
-        "            for task in self._list_placed_tasks()\n            if",
+        "lagoonbeam/site/run_dispatcher.py",
+        "            self.is_start_pending(task)\n            or",
+        "            False\n            or",
         f"{_TESTS}slow_or_moved_worker.py"
         "::test_start_being_journaled_is_not_ended_by_failed_polls",
     ),
--- a/lagoonbeam/site/events.py
+++ b/lagoonbeam/site/events.py
@@ -56,6 +56,13 @@
     WORKER_SESSION_FAILED = "worker.session_failed"
     """The session with a worker failed because of a fault in the program; a
     new one is opened."""
+    LEASES_SHORTENED = "leases.shortened"
+    """A term grants leases shorter than the longest; their durations."""
+    ZONE_SILENT = "zone.silent"
+    """Many workers of one zone stopped answering; its workers get no new runs
+    until each has answered again."""
+    ZONE_ANSWERS = "zone.answers"
+    """Most workers of a silent zone answer again."""
     ZONES_EVACUATED = "zones.evacuated"
     """The zones that operators evacuate changed; their workers get no runs."""
     ADVICE_GIVEN = "advice.given"
--- a/lagoonbeam/site/fleet.py
+++ b/lagoonbeam/site/fleet.py
@@ -23,6 +23,12 @@
 from lagoonbeam.site.records import RunKey
 from lagoonbeam.site.scheduler_callbacks import SchedulerCallbacks
 from lagoonbeam.site.session import WorkerSession
+from lagoonbeam.site.silent_workers.lease_durations import (
+    SHORT_LEASE_S,
+    STEADY_LEASE_S,
+    LeaseDurations,
+)
+from lagoonbeam.site.silent_workers.silent_zones import SilentZones
 from lagoonbeam.site.unconfirmed_orders import UnansweredStarts, WorkerFence
 from lagoonbeam.types import ZoneName
 
@@ -45,7 +51,7 @@
         directory: The worker directory.
         connector: Creates clients for workers.
         scheduler: The scheduler, which the sessions report to.
-        lease_s: Duration of each lease, in seconds.
+        lease_durations: Chooses the duration of each lease.
         stop_timeout_s: Longest time that a worker takes to stop a run.
         order_delay_s: Longest time after which a worker carries out an order
             that got no answer.
@@ -68,7 +74,7 @@
         connector: WorkerConnector,
         scheduler: SchedulerCallbacks,
         *,
-        lease_s: float,
+        lease_durations: LeaseDurations,
         stop_timeout_s: float = 0.0,
         order_delay_s: float = 0.0,
         decisions: DecisionLog,
@@ -87,13 +93,14 @@
         self._directory = directory
         self._connector = connector
         self._scheduler = scheduler
-        self._lease_s = lease_s
+        self._lease_durations = lease_durations
         self._stop_timeout_s = stop_timeout_s
         self._decisions = decisions
         self._zone_evacuations = zone_evacuations
         self._lease_grants: dict[str, LeaseGrants] = defaultdict(LeaseGrants)
         self._fences: dict[str, WorkerFence] = {}
         self._evacuated_zones: frozenset[ZoneName] = frozenset()
+        self._silent_zones = SilentZones(decisions)
         self._dependency_monitor = DependencyMonitor(
             "list of workers", decisions
         )
@@ -101,6 +108,7 @@
     def get_usable_sessions(self) -> dict[str, WorkerSession]:
         """Returns the sessions with workers that may get new runs, by name."""
         self._update_evacuated_zones()
+        self._silent_zones.update(self.sessions.values())
         return {
             name: session
             for name, session in self.sessions.items()
@@ -130,7 +138,14 @@
         In monotonic time; negative infinity if no session granted any.
         """
         grants = self._lease_grants.get(worker)
-        return float("-inf") if grants is None else grants.expire_at_s
+        if grants is None:
+            return float("-inf")
+        return max(grants.expire_at_s, grants.longest_expire_at_s)
+
+    def awaits_answer(self, worker: str) -> bool:
+        """Whether new runs wait until the worker has answered a poll."""
+        session = self.sessions.get(worker)
+        return session is not None and session.polls.awaits_answer
 
     def has_incarnation(self, worker: str, incarnation: int) -> bool:
         """Whether this incarnation of a worker sent its newest poll reply."""
@@ -180,6 +195,14 @@
 
     async def run(self) -> None:
         """Polls the directory and runs the sessions until cancelled."""
+        durations = self._lease_durations
+        if durations.is_shortened:
+            self._decisions.emit(
+                Event.LEASES_SHORTENED,
+                short_s=SHORT_LEASE_S,
+                steady_s=STEADY_LEASE_S,
+                longest_s=durations.max_s,
+            )
         async with anyio.create_task_group() as tasks:
             while True:
                 await self._dependency_monitor.run(
@@ -236,11 +259,16 @@
             del self.sessions[session.worker]
 
     def _open_session(self, report: WorkerReport) -> WorkerSession:
+        grants = self._lease_grants[report.worker]
         lease = Lease(
-            self._lease_s,
-            self._scheduler.find_prior_lease_expiry_s(report.worker),
-            self._lease_grants[report.worker],
+            self._lease_durations.max_s,
+            max(
+                self._scheduler.find_prior_lease_expiry_s(report.worker),
+                grants.longest_expire_at_s,
+            ),
+            grants,
             stop_timeout_s=self._stop_timeout_s,
+            choose_lease_s=lambda: self._choose_lease_s(report.worker),
         )
         fence = self._fences.setdefault(
             report.worker, WorkerFence(self._scheduler.token)
@@ -258,6 +286,10 @@
         self.sessions[report.worker] = session
         return session
 
+    def _choose_lease_s(self, worker: str) -> float:
+        tasks = self._scheduler.state.tasks_by_worker.get(worker, {})
+        return self._lease_durations.choose_s(tasks.values())
+
     async def _run_session(self, session: WorkerSession) -> None:
         try:
             await session.run()
--- a/lagoonbeam/site/run_dispatcher.py
+++ b/lagoonbeam/site/run_dispatcher.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import time
+from collections.abc import Mapping
 
 import anyio.abc
 
@@ -16,7 +17,7 @@
 from lagoonbeam.site.events import Event
 from lagoonbeam.site.jobs import Task
 from lagoonbeam.site.lease import Lease
-from lagoonbeam.site.model import EndEvidence, RunEndReason
+from lagoonbeam.site.model import ActiveRun, EndEvidence, RunEndReason
 from lagoonbeam.site.platform_interface import (
     StartOrder,
     StartRefusedError,
@@ -24,6 +25,7 @@
 )
 from lagoonbeam.site.records import Placement, RunEnd, RunKey
 from lagoonbeam.site.scheduler_callbacks import SchedulerCallbacks
+from lagoonbeam.site.silent_workers.poll_watch import PollWatch
 from lagoonbeam.site.unconfirmed_orders import UnansweredStarts, WorkerFence
 
 START_RETRY_S = 0.5
@@ -54,6 +56,7 @@
             has not been answered yet; shared by all sessions of the term.
         unanswered_starts: Starts that got no answer, likewise.
         decisions: The decision log.
+        polls: The polls of the worker.
 
     Attributes:
         task_group: Runs the stop commands; None before the session runs.
@@ -69,6 +72,7 @@
         pending_starts: set[RunKey],
         unanswered_starts: UnansweredStarts,
         decisions: DecisionLog,
+        polls: PollWatch,
     ):
         self._worker = worker
         self._client = client
@@ -76,6 +80,7 @@
         self._fence = fence
         self._scheduler = scheduler
         self._decisions = decisions
+        self._polls = polls
         self._created_at_s = time.monotonic()
         self._pending_starts = pending_starts
         self._unanswered_starts = unanswered_starts
@@ -99,6 +104,23 @@
         run_key = (task.task_id, task.run)
         return self._start_confirmed_at_s.get(run_key, float("inf")) < time_s
 
+    def has_begun_before(
+        self, task: Task, time_s: float, running: Mapping[str, ActiveRun]
+    ) -> bool:
+        """Whether a run of a task had certainly begun at a monotonic time.
+
+        Args:
+            task: The task.
+            time_s: The time.
+            running: The runs in the worker's latest report, by task.
+        """
+        if self.is_start_pending(task):
+            return False
+        active_run = running.get(task.task_id)
+        return (
+            active_run is not None and active_run.run == task.run
+        ) or self.was_start_confirmed_before(task, time_s)
+
     def was_stop_confirmed_before(
         self, task_id: str, run: int, time_s: float
     ) -> bool:
@@ -130,10 +152,27 @@
             )
         )
 
-    def may_outlast_leases(self, task: Task) -> bool:
-        """Whether a run may go on now, though all leases have expired."""
-        return self._unanswered_starts.may_outlast_leases(
-            (task.task_id, task.run), self._lease.expires_at_s
+    def may_outlast_leases(self, task: Task, *, is_listed: bool) -> bool:
+        """Whether a run may go on, or begin, though all leases have expired.
+
+        Args:
+            task: The task.
+            is_listed: Whether the directory lists the worker; one that it
+                does not list is gone, and starts nothing late.
+        """
+        run_key = (task.task_id, task.run)
+        longest_expire_at_s = self._lease.longest_expires_at_s
+        return (
+            self.is_start_pending(task)
+            or self._unanswered_starts.may_be_running(
+                run_key, longest_expire_at_s
+            )
+            or (
+                is_listed
+                and self._unanswered_starts.may_outlast_leases(
+                    run_key, longest_expire_at_s
+                )
+            )
         )
 
     def may_repeat_start(self, task: Task) -> bool:
@@ -200,11 +239,13 @@
                 raise StartNotSentError("the worker's clock was not read yet")
             if not self._scheduler.may_renew_leases:
                 raise StartNotSentError("no append was confirmed for too long")
-            await self._client.start(
+            sent_s = time.monotonic()
+            clock_ms = await self._client.start(
                 order,
                 token=token,
                 lease_deadline_ms=self._lease.grant(),
             )
+            self._lease.record_start_answer(clock_ms, sent_s)
             self._start_confirmed_at_s[run_key] = time.monotonic()
             outcome = "started"
         except FencedError:
@@ -222,11 +263,11 @@
             outcome = f"not sent: {error}"
         except UnavailableError as error:
             outcome = f"in doubt: {error}"
-            self._unanswered_starts.record(run_key)
+            self._record_unanswered(run_key)
         except Exception as error:
             # A worker that cannot be talked to must not end the scheduler.
             outcome = f"in doubt: {error!r}"
-            self._unanswered_starts.record(run_key)
+            self._record_unanswered(run_key)
         finally:
             self._start_retry_at_s[run_key] = time.monotonic() + START_RETRY_S
             self._pending_starts.discard(run_key)
@@ -243,6 +284,10 @@
                 repeated=is_repeat,
             )
 
+    def _record_unanswered(self, run_key: RunKey) -> None:
+        self._unanswered_starts.record(run_key)
+        self._polls.record_unanswered_start()
+
     async def _handle_refusal(
         self, task: Task, placement: Placement, is_repeat: bool
     ) -> None:
--- a/lagoonbeam/site/run_launcher.py
+++ b/lagoonbeam/site/run_launcher.py
@@ -120,6 +120,7 @@
             task.unit.key
             for task, placement in valid_placements
             if not self._fleet.accepts_runs(placement.worker)
+            or self._fleet.awaits_answer(placement.worker)
             or not self._fleet.has_incarnation(
                 placement.worker, placement.incarnation
             )
--- a/lagoonbeam/site/scheduler.py
+++ b/lagoonbeam/site/scheduler.py
@@ -44,6 +44,7 @@
     TermResigned,
 )
 from lagoonbeam.site.run_launcher import RunLauncher
+from lagoonbeam.site.silent_workers.lease_durations import LeaseDurations
 from lagoonbeam.site.spare_pools import ShortageTracker, SparePoolController
 from lagoonbeam.site.state import SiteState
 from lagoonbeam.site.termination import TerminationRecorder
@@ -102,7 +103,9 @@
             platform_services.worker_directory,
             platform_services.worker_connector,
             self,
-            lease_s=time_limits.lease_s,
+            lease_durations=LeaseDurations(
+                time_limits.lease_s, self._get_confirmation_age_s
+            ),
             stop_timeout_s=time_limits.stop_timeout_s,
             order_delay_s=time_limits.order_delay_s,
             decisions=decisions,
@@ -182,10 +185,11 @@
     @property
     def may_renew_leases(self) -> bool:
         """Whether worker leases may be renewed."""
-        return (
-            read_boot_time_s() - self._appender.last_confirmed_append_s
-            < MAX_UNCONFIRMED_RENEWAL_S
-        )
+        return self._get_confirmation_age_s() < MAX_UNCONFIRMED_RENEWAL_S
+
+    def _get_confirmation_age_s(self) -> float:
+        """Returns the time since the last confirmed append was stored."""
+        return read_boot_time_s() - self._appender.last_confirmed_append_s
 
     def find_prior_lease_expiry_s(self, worker: str) -> float:
         """Returns when all leases of earlier terms on a worker have expired."""
--- a/lagoonbeam/site/session.py
+++ b/lagoonbeam/site/session.py
@@ -29,6 +29,9 @@
 from lagoonbeam.site.run_dispatcher import RunDispatcher
 from lagoonbeam.site.run_pacer import RunPacer
 from lagoonbeam.site.scheduler_callbacks import SchedulerCallbacks
+from lagoonbeam.site.silent_workers.lapses import make_lapse
+from lagoonbeam.site.silent_workers.lease_renewer import LeaseRenewer
+from lagoonbeam.site.silent_workers.poll_watch import PollWatch
 from lagoonbeam.site.stale_runs import find_stop_cause
 from lagoonbeam.site.stalled_runs import StalledRunHandler
 from lagoonbeam.site.unconfirmed_orders import UnansweredStarts, WorkerFence
@@ -52,6 +55,7 @@
         report: The worker's newest entry in the worker directory.
         incarnation: Incarnation that sent the newest poll reply. Until the
             directory shows it too, the capacity and labels are unknown.
+        polls: Whether the worker answers its polls in time.
     """
 
     def __init__(
@@ -72,6 +76,7 @@
         self.running: dict[str, ActiveRun] = {}
         self.has_been_polled = False
         self.failed_polls = 0
+        self.polls = PollWatch()
         self._client = client
         self._scheduler = scheduler
         self._decisions = decisions
@@ -79,6 +84,9 @@
         self._lease = lease
         self._fence = fence
         self._unanswered_starts = unanswered_starts
+        self._renewer = LeaseRenewer(
+            report.worker, client, lease, fence, scheduler
+        )
         self.dispatcher = RunDispatcher(
             report.worker,
             client,
@@ -88,6 +96,7 @@
             pending_starts,
             unanswered_starts,
             decisions,
+            self.polls,
         )
         self._acked_sequence = 0
         self._stalled_runs = StalledRunHandler(
@@ -113,6 +122,7 @@
             and self.incarnation == self.report.incarnation
             and not self.report.is_draining
             and self.failed_polls < MAX_FAILED_POLLS
+            and not self.polls.awaits_answer
             and not self._stalled_runs.is_cooling_down
         )
 
@@ -162,21 +172,10 @@
             self._scheduler.state.tasks_by_worker.get(self.worker, {}).values()
         )
 
-    def _may_renew_leases(self) -> bool:
-        return (
-            self._lease.has_clock_reading
-            and self._scheduler.may_renew_leases
-            and self._is_lease_term_recorded()
-            and not self.failed_polls  # a silent worker's leases must expire
-        )
-
-    def _is_lease_term_recorded(self) -> bool:
-        return self._scheduler.lease_terms.is_recorded(self.worker)
-
     def _has_unconfirmed(self) -> bool:
         placed_tasks = self._list_placed_tasks()
         return bool(placed_tasks) and (
-            not self._is_lease_term_recorded()
+            not self._renewer.is_term_recorded
             or any(
                 task.task_id not in self.running
                 and not self.dispatcher.is_start_pending(task)
@@ -184,21 +183,28 @@
             )
         )
 
+    def _choose_wait_s(self) -> float:
+        if self._has_unconfirmed() or self.polls.awaits_answer:
+            return UNCONFIRMED_WAIT_S
+        if self._pacer.is_needed(self.running.values()):
+            return PACING_WAIT_S
+        return POLL_WAIT_S
+
     async def _poll(self) -> None:
         sent_s = time.monotonic()
         is_first = not self._lease.has_clock_reading
-        wait_s = UNCONFIRMED_WAIT_S if self._has_unconfirmed() else POLL_WAIT_S
-        if self._pacer.is_needed(self.running.values()):
-            wait_s = min(wait_s, PACING_WAIT_S)
-        is_renewing = self._may_renew_leases()
+        wait_s = 0.0 if is_first or self.failed_polls else self._choose_wait_s()
+        # A silent worker's leases must expire.
+        is_renewing = self._renewer.may_renew and not self.failed_polls
         savepoint = self._lease.create_savepoint()
+        self.polls.record_sent(wait_s)
         try:
             reply = await self._client.renew_leases(
                 token=self._fence.token,
                 # After a failed poll, another incarnation may answer.
                 acked_sequence=0 if self.failed_polls else self._acked_sequence,
                 lease_deadline_ms=self._lease.grant() if is_renewing else None,
-                wait_s=0.0 if is_first else wait_s,
+                wait_s=wait_s,
             )
         except FencedError:
             self._scheduler.lose_term(f"worker {self.worker} has a newer token")
@@ -212,8 +218,9 @@
             self._monitor.report_success()
             self._scheduler.on_worker_usable(self.worker)
         self.failed_polls = 0
-        self._lease.record_clock(reply.clock_ms)
-        if self._list_placed_tasks() and not self._is_lease_term_recorded():
+        self.polls.record_answer(sent_s)
+        self._lease.record_clock(reply.clock_ms, sent_s)
+        if self._list_placed_tasks() and not self._renewer.is_term_recorded:
             self._scheduler.lease_terms.request(self.worker)
         if reply.incarnation:
             self._fence.record_incarnation(reply.incarnation)
@@ -225,6 +232,7 @@
 
     async def _handle_failed_poll(self, error: LagoonbeamError) -> None:
         self.failed_polls += 1
+        self.polls.record_failure()
         if self.failed_polls == MAX_FAILED_POLLS:
             self._monitor.report_failure(error)
         if self._lease.has_expired:
@@ -233,11 +241,10 @@
 
     async def _end_lapsed_runs(self) -> None:
         ends = [
-            self._make_lapse(task)
+            make_lapse(task, self.running)
             for task in self._list_placed_tasks()
-            if not self.dispatcher.is_start_pending(task)
-            and not (  # an unlisted worker is gone, and starts nothing late
-                self.is_listed and self.dispatcher.may_outlast_leases(task)
+            if not self.dispatcher.may_outlast_leases(
+                task, is_listed=self.is_listed
             )
         ]
         if ends:
@@ -264,39 +271,23 @@
         listed_runs = {(run.task_id, run.run) for run in reply.running}
         listed_runs |= {(end.task_id, end.run) for end in reply.finished}
         ends = [
-            self._make_lapse(task)
+            make_lapse(task, self.running)
             for task in self._list_placed_tasks()
             if (task.task_id, task.run) not in listed_runs
             and not reply.is_truncated
-            and self._has_begun_before(task, sent_s)
+            and self.dispatcher.has_begun_before(task, sent_s, self.running)
             and not self.dispatcher.may_start_after(task, sent_s)
         ]
         self.incarnation = reply.incarnation
         self._acked_sequence = 0
         self.dispatcher.discard_stops()
         self.running = {}
-        if ends and await self._scheduler.record_run_ends(
-            ends, EndEvidence.RESTARTED
+        if ends and await self._renewer.record_run_ends(
+            ends, EndEvidence.RESTARTED, acked_sequence=0
         ):
             for end in ends:
                 self.dispatcher.discard_run(end.task_id, end.run)
 
-    def _has_begun_before(self, task: Task, time_s: float) -> bool:
-        """Whether a run of a task had certainly begun at a monotonic time."""
-        if self.dispatcher.is_start_pending(task):
-            return False
-        running = self.running.get(task.task_id)
-        return (
-            running is not None and running.run == task.run
-        ) or self.dispatcher.was_start_confirmed_before(task, time_s)
-
-    def _make_lapse(self, task: Task) -> RunEnd:
-        running = self.running.get(task.task_id)
-        checkpoint = running.checkpoint if running is not None else ""
-        return RunEnd(
-            task.task_id, task.run, RunEndReason.LEASE_EXPIRED, checkpoint
-        )
-
     async def _process_reply(self, reply: PollReply, sent_s: float) -> None:
         self.running = {task.task_id: task for task in reply.running}
         self._stalled_runs.handle(self.running)
@@ -333,8 +324,10 @@
                 )
                 missing.append(RunEnd(*run_key, reason))
         if missing:
-            await self._scheduler.record_run_ends(
-                missing, EndEvidence.STOP_CONFIRMED
+            await self._renewer.record_run_ends(
+                missing,
+                EndEvidence.STOP_CONFIRMED,
+                acked_sequence=self._acked_sequence,
             )
             for end in missing:
                 self.dispatcher.discard_run(end.task_id, end.run)
@@ -386,7 +379,9 @@
                 worker=self.worker,
                 how=end.end.value,
             )
-        if ends and not await self._scheduler.record_run_ends(ends):
+        if ends and not await self._renewer.record_run_ends(
+            ends, acked_sequence=self._acked_sequence
+        ):
             return
         self._acked_sequence = max(end.sequence for end in new)
 
--- a/lagoonbeam/site/unconfirmed_orders.py
+++ b/lagoonbeam/site/unconfirmed_orders.py
@@ -84,6 +84,20 @@
         if not self.may_arrive_after(run_key, time_s):
             self._given_up_at_s.pop(run_key, None)
 
+    def may_be_running(
+        self, run_key: RunKey, leases_expire_at_s: float
+    ) -> bool:
+        """Whether a run may hold a lease of a life whose clock is not known.
+
+        Args:
+            run_key: The run.
+            leases_expire_at_s: As for `may_outlast_leases`.
+        """
+        return (
+            run_key in self._given_up_at_s
+            and time.monotonic() <= leases_expire_at_s
+        )
+
     def may_outlast_leases(
         self, run_key: RunKey, leases_expire_at_s: float
     ) -> bool:
@@ -95,7 +109,7 @@
         Args:
             run_key: The run; nothing was heard from its worker since.
             leases_expire_at_s: Monotonic time at which the leases expire that
-                were granted to its worker, on the clock of that time.
+                were granted to its worker, if each is the longest.
         """
         return (
             run_key in self._given_up_at_s
--- a/tests/site/test_fleet.py
+++ b/tests/site/test_fleet.py
@@ -24,6 +24,8 @@
     RunsEnded,
 )
 from lagoonbeam.site.run_launcher import RunLauncher
+from lagoonbeam.site.silent_workers.lease_durations import LeaseDurations
+from lagoonbeam.site.silent_workers.poll_watch import PollWatch
 from lagoonbeam.site.state import SiteState
 from tests.site.builders import accept_job, make_job, make_worker_report
 
@@ -70,7 +72,7 @@
             unused,
             unused,
             unused,
-            lease_s=5.0,
+            lease_durations=LeaseDurations(5.0),
             decisions=self.decisions,
             zone_evacuations=self.evacuations,
         )
@@ -80,6 +82,9 @@
                 report=make_worker_report(name, availability_zone=f"z{number}"),
                 incarnation=1,
                 is_usable=True,
+                is_listed=True,
+                has_been_polled=True,
+                polls=PollWatch(),
                 dispatcher=FakeDispatcher(),
             )
             self.fleet.sessions[name] = session
--- a/tests/site/test_lease.py
+++ b/tests/site/test_lease.py
@@ -116,6 +116,70 @@
     assert lease.has_expired
 
 
+def make_short_lease() -> Lease:
+    """Makes the lease of a worker whose present life is known."""
+    lease = Lease(LEASE_S, 0.0, choose_lease_s=lambda: 2.0)
+    lease.record_clock(50_000)
+    lease.record_clock(50_000)
+    return lease
+
+
+def test_short_grant_expires_before_the_longest_lease(
+    manual_clock: ManualClock,
+) -> None:
+    lease = make_short_lease()
+    manual_clock.now_s += LEASE_S
+    lease.record_clock(50_000 + int(LEASE_S * 1_000))
+    lease.record_clock(50_000 + int(LEASE_S * 1_000))
+    manual_clock.now_s += 1.0
+    assert lease.grant() == 59_000
+    manual_clock.now_s += 2.1
+    assert lease.has_expired
+
+
+@pytest.mark.parametrize("readings", [1, 2])
+def test_new_life_of_a_worker_may_hold_the_longest_lease(
+    manual_clock: ManualClock, readings: int
+) -> None:
+    """Its clock is behind; orders to the life before may have reached it."""
+    lease = make_short_lease()
+    manual_clock.now_s += 3 * LEASE_S
+    lease.record_clock(50_000 + 3 * int(LEASE_S * 1_000))
+    for number in range(readings):
+        manual_clock.now_s += 0.5
+        lease.record_clock(10 + 500 * number)
+    manual_clock.now_s += LEASE_S
+    assert not lease.has_expired
+
+
+def test_start_on_a_new_life_of_a_worker_holds_the_longest_lease(
+    manual_clock: ManualClock,
+) -> None:
+    """The deadline is far ahead on a clock that has begun anew."""
+    lease = make_short_lease()
+    manual_clock.now_s += 3 * LEASE_S
+    lease.record_clock(50_000 + 3 * int(LEASE_S * 1_000))
+    lease.grant()
+    lease.record_start_answer(10, manual_clock.now_s)
+    manual_clock.now_s += LEASE_S
+    assert not lease.has_expired
+    manual_clock.now_s += 0.2
+    assert lease.has_expired
+
+
+def test_worker_that_answers_slowly_gets_the_longest_lease(
+    manual_clock: ManualClock,
+) -> None:
+    """A scheduler that is late may not renew it in time."""
+    lease = make_short_lease()
+    manual_clock.now_s += 3.0
+    lease.record_clock(53_000)
+    assert lease.grant() == 53_000 + int(LEASE_S * 1_000)
+    manual_clock.now_s += 1.0
+    lease.record_clock(54_000)
+    assert lease.grant() == 56_000
+
+
 def test_unsent_grant_is_rolled_back(manual_clock: ManualClock) -> None:
     lease = make_lease()
     savepoint = lease.create_savepoint()
