--- a/lagoonbeam/site/events.py
+++ b/lagoonbeam/site/events.py
@@ -61,6 +61,13 @@
     PROGRESS_IGNORED = "run.progress_ignored"
     """A worker reported progress of a run that cannot be right; logged once
     for each worker."""
+    LEASES_SHORTENED = "leases.shortened"
+    """A term grants leases shorter than the longest; their durations."""
+    ZONE_SILENT = "zone.silent"
+    """Many workers of one zone stopped answering; its workers get no new runs
+    until each has answered again."""
+    ZONE_ANSWERS = "zone.answers"
+    """Most workers of a silent zone answer again."""
     ZONES_EVACUATED = "zones.evacuated"
     """The zones that operators evacuate changed; their workers get no runs."""
     ADVICE_GIVEN = "advice.given"
