Bound what clients hold of an instance of a site

Cause: nothing counted the bytes and connections of a process's clients. The parser joins the pieces of a field before it hands it over, so a head without end was counted too late; bodies that stop short of their end stayed until the limit on silence; empty lines began no request and renewed the idle time; all requests of a read were parsed at once; and the streams read ahead by 256 KB each.

Change: the servers of a process share one account (core/request_budget), derived from the machine's memory and descriptors in the settings, with a part each for callers, peers and probes. Without room, the request that stands for longest without progress is closed with 503, then the longest idle connection; a request that is handled is never closed, and one that finds nothing to close gets 503 with Retry-After before it is handed on. Raw bytes of heads, empty lines and chunks are bounded, and a request has a deadline by size and slowest rate. Sockets are read as far as they are parsed.

--- a/docs/make_settings.py
+++ b/docs/make_settings.py
@@ -12,6 +12,7 @@
 
 from lagoonbeam.commands.client import ClientSettings
 from lagoonbeam.commands.timeline import TimelineSettings
+from lagoonbeam.core.request_budget import RequestLimitSettings
 from lagoonbeam.core.settings import EntrySettings, SchedulerSettings
 
 SETTINGS_MODELS = {
@@ -19,6 +20,7 @@
     "lagoonbeam-scheduler": SchedulerSettings,
     "lagoonbeam": ClientSettings,
     "lagoonbeam-timeline": TimelineSettings,
+    "`request_limits` of a site's instance": RequestLimitSettings,
 }
 OUTPUT_PATH = Path(__file__).with_name("SETTINGS.md")
 
--- a/lagoonbeam/core/http_client.py
+++ b/lagoonbeam/core/http_client.py
@@ -63,9 +63,8 @@
         self.last_data_s = anyio.current_time()
 
 
-def enable_tcp_keep_alive(stream: anyio.abc.SocketStream) -> None:
+def enable_tcp_keep_alive(tcp_socket: socket.socket) -> None:
     """Makes the kernel close a connection whose peer stops responding."""
-    tcp_socket = stream.extra(anyio.abc.SocketAttribute.raw_socket)
     options = (
         (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
         (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEP_ALIVE_INTERVAL_S),
@@ -221,7 +220,9 @@
         try:
             with anyio.fail_after(min(timeout_s, CONNECT_TIMEOUT_S)):
                 stream = await anyio.connect_tcp(self.host, self.port)
-                enable_tcp_keep_alive(stream)
+                enable_tcp_keep_alive(
+                    stream.extra(anyio.abc.SocketAttribute.raw_socket)
+                )
         except (OSError, TimeoutError) as error:
             raise ServerUnreachableError(
                 f"cannot connect to {self.host}:{self.port}"
--- a/lagoonbeam/site/events.py
+++ b/lagoonbeam/site/events.py
@@ -25,6 +25,9 @@
     """A request was refused; status and cause."""
     REQUEST_BROKEN = "request.broken"
     """A request failed because of a fault in the program."""
+    REQUEST_LIMIT = "request.limit"
+    """Clients reached or left a limit on requests or connections; how often
+    it was met."""
     UNIT_WAITS = "unit.waits"
     """A unit could not be placed; logged once for each start."""
     UNIT_EVICTS = "unit.evicts"
--- a/lagoonbeam/site/metrics.py
+++ b/lagoonbeam/site/metrics.py
@@ -54,6 +54,13 @@
         self.store_calls = counter(
             "store_calls", "Store calls by route and result.", "route", "result"
         )
+        self.request_limits = counter(
+            "request_limits", "Requests or connections ended.", "limit"
+        )
+        self.request_bytes = gauge(
+            "request_bytes", "Memory held for requests and connections."
+        )
+        self.client_connections = gauge("client_connections", "Open ones.")
         self.starts = counter("starts", "Start orders by outcome.", "outcome")
         self.ends = counter("ends", "Runs that ended, by how.", "how")
         self.lost_core_s = counter(
