Place units where their slowest worker lets them end in time

Cause: a gang runs as fast as its slowest worker, and placement knew room only: with workers at 0.6, 1.0 and 1.6 of the usual pace, a gang of five chosen blindly nearly always met a slow one.

Change: with uneven worker speeds, a unit goes to workers of one speed that lets it end in time, the slowest such one, or, if urgent and short of time, the fastest one of which much is free. Work of low priority leaves fast workers free. With even speeds, placement is as before.

--- a/benchmarks/site_simulation.py
+++ b/benchmarks/site_simulation.py
@@ -283,17 +283,7 @@
         arrival = self.result.outcomes[unit.job.request.job_id].arrival
         for task in unit.tasks:
             self._run_started_s[task.task_id] = self._clock.now_s
-        racks = {self._sessions[w].report.rack for w in workers}
-        slowdown = (
-            MULTI_RACK_SLOWDOWN
-            if unit.spec.is_one_rack and len(racks) > 1
-            else 1.0
-        )
-        slowdown *= (
-            SLOW_WORKER_SLOWDOWN
-            if workers & self._faulty_workers["slow"]
-            else 1.0
-        )
+        slowdown = self._compute_slowdown(unit, workers)
         checkpointed_s = float(unit.checkpoint or 0.0)
         remaining_s = (arrival.run_s - checkpointed_s) * slowdown
         remaining_s += CHECKPOINT_RESTORE_S if checkpointed_s else 0.0
@@ -304,6 +294,18 @@
         else:
             self._call_later(remaining_s, lambda: self._complete_run(unit, run))
 
+    def _compute_slowdown(
+        self, unit: PlacementUnit, workers: set[str]
+    ) -> float:
+        """Returns the factor by which a unit runs longer on some workers."""
+        slowdown = 1.0
+        racks = {self._sessions[w].report.rack for w in workers}
+        if unit.spec.is_one_rack and len(racks) > 1:
+            slowdown *= MULTI_RACK_SLOWDOWN
+        if workers & self._faulty_workers["slow"]:
+            slowdown *= SLOW_WORKER_SLOWDOWN
+        return slowdown
+
     def _is_running(self, unit: PlacementUnit, run: int) -> bool:
         return all(
             task.placement is not None
--- a/lagoonbeam/site/events.py
+++ b/lagoonbeam/site/events.py
@@ -29,6 +29,8 @@
     """A unit could not be placed; logged once for each start."""
     UNIT_EVICTS = "unit.evicts"
     """Running units are stopped to make room for another one."""
+    UNIT_PLACED_SLOWLY = "unit.placed_slowly"
+    """No workers fast enough for a unit were free; its job may be late."""
     RUN_START = "run.start"
     """The start of a run was ordered; outcome."""
     RUN_STOP = "run.stop"
--- a/lagoonbeam/site/metrics.py
+++ b/lagoonbeam/site/metrics.py
@@ -55,6 +55,9 @@
             "store_calls", "Store calls by route and result.", "route", "result"
         )
         self.starts = counter("starts", "Start orders by outcome.", "outcome")
+        self.speed_placements = counter(
+            "speed_placements", "Starts on workers of unequal speed.", "speed"
+        )
         self.ends = counter("ends", "Runs that ended, by how.", "how")
         self.lost_core_s = counter(
             "lost_core_seconds", "Work thrown away to make room."
--- a/lagoonbeam/site/planner.py
+++ b/lagoonbeam/site/planner.py
@@ -13,13 +13,14 @@
 from lagoonbeam.site.eviction import find_eviction, make_lost_work_function
 from lagoonbeam.site.jobs import PlacementUnit
 from lagoonbeam.site.model import Configuration, QueuePolicy
-from lagoonbeam.site.placement import Assignment, PackingCursor, place_unit
+from lagoonbeam.site.placement import Assignment, PackingCursor
 from lagoonbeam.site.plan import MAX_STARTS_PER_PLAN, PLAN_TIME_LIMIT_S, Plan
 from lagoonbeam.site.planner_state import PlannerState
 from lagoonbeam.site.priority_limits import PriorityLimits
 from lagoonbeam.site.ready_queue import ReadyQueue
 from lagoonbeam.site.run_time_estimator import JobValue
 from lagoonbeam.site.session import WorkerSession
+from lagoonbeam.site.speed_aware_placement.placer import SpeedAwarePlacer
 from lagoonbeam.site.state import SiteState
 from lagoonbeam.site.worker_capacity import (
     CapacityMap,
@@ -76,6 +77,10 @@
             configuration.count_guaranteed_accelerators(),
             planner_state.policies.reserve,
             list_held_workers(planner_state.capacity_holds.values()),
+            planner_state.worker_speeds,
+        )
+        self._placer = SpeedAwarePlacer(
+            planner_state, usable_sessions, self._queue.get_policy, self._now_s
         )
         self._capacities = self._compute_free_capacities()
         for name, free in self._capacities.items():
@@ -126,6 +131,7 @@
             self._allocate(assignment, 1)
             self._add_nonevictable_tasks(unit)
             self._plan.starts.append((unit, assignment))
+            self._placer.record_start(unit, assignment)
             self._planner_state.launching_assignments[unit.key] = assignment
         tried_unit_keys.clear()
         return self._plan
@@ -196,6 +202,7 @@
             ),
             self._locality.exceeds_idle_wait(unit),
             self._may_evict(unit, policy),
+            self._placer.get_needed_level(unit),
             *get_placement_requirements(unit),
         )
 
@@ -332,11 +339,9 @@
     def _place_on(
         self, unit: PlacementUnit, capacities: CapacityMap, allow_nonlocal: bool
     ) -> Assignment | None:
-        packing = self._planner_state.policies.packing
-        assignment = place_unit(
-            unit, capacities, allow_nonlocal=allow_nonlocal, packing=packing
+        assignment, self._previous_capacities = self._placer.place(
+            unit, capacities, allow_nonlocal=allow_nonlocal
         )
-        self._previous_capacities = None if assignment is None else capacities
         return assignment
 
     def _may_evict(self, unit: PlacementUnit, policy: QueuePolicy) -> bool:
--- a/lagoonbeam/site/priority_limits.py
+++ b/lagoonbeam/site/priority_limits.py
@@ -4,6 +4,7 @@
 
 from collections import defaultdict
 from collections.abc import Mapping, Set
+from itertools import chain, islice
 
 from lagoonbeam.site.jobs import PlacementUnit
 from lagoonbeam.site.model import QueuePolicy
@@ -11,8 +12,14 @@
 from lagoonbeam.site.worker_capacity import (
     CapacityMap,
 )
+from lagoonbeam.site.worker_speed.worker_speeds import WorkerSpeeds
 from lagoonbeam.site.worker_usage import WorkerUsage
 
+RESERVABLE_FRACTION = 0.5
+"""Fraction of the workers of one speed that is left free for urgent work in
+preference to slower workers; the rest stays for low-priority work that is short
+of time."""
+
 
 class PriorityLimits:
     """Tracks and enforces the limits of low-priority work in one plan.
@@ -26,6 +33,7 @@
         guaranteed_total: Sum of all guarantees, in accelerators.
         reserve_policy: Bounds the workers that low-priority work may use.
         held_workers: Workers that waiting gangs hold.
+        worker_speeds: Speeds of the workers; fast ones are left free first.
     """
 
     def __init__(
@@ -35,12 +43,14 @@
         guaranteed_total: int,
         reserve_policy: ReservePolicy,
         held_workers: Set[str] = frozenset(),
+        worker_speeds: WorkerSpeeds | None = None,
     ):
         self._service_capacities = service_capacities
         self._guaranteed_job_ids = guaranteed_job_ids
         self._guaranteed_total = guaranteed_total
         self._reserve_policy = reserve_policy
         self._held_workers = held_workers
+        self._worker_speeds = worker_speeds or WorkerSpeeds()
         self._allowed_capacities: dict[tuple[str, int], CapacityMap] = {}
         self.evictable_units: dict[str, dict[str, PlacementUnit]] = defaultdict(
             dict
@@ -95,7 +105,7 @@
 
         Workers that run such work or are held for it come first, then whole
         racks in a fixed order, so that the remaining workers stay free for
-        urgent work.
+        urgent work. Of workers of unequal speed, fast ones stay free.
         """
         key = (policy.service, policy.priority)
         if key not in self._allowed_capacities:
@@ -122,9 +132,13 @@
         worker_limit = self._reserve_policy.count_allowed_workers(
             policy.priority, len(capacities), urgent_workers
         )
+        fast_workers = self._select_fast_workers(
+            capacities, len(capacities) - worker_limit
+        )
         names_by_preference = sorted(
             capacities,
             key=lambda name: (
+                name in fast_workers,
                 not self.evictable_units.get(name)
                 and name not in self._held_workers,
                 capacities[name].report.rack,
@@ -135,3 +149,20 @@
             name: capacities[name]
             for name in names_by_preference[:worker_limit]
         }
+
+    def _select_fast_workers(
+        self, capacities: CapacityMap, count: int
+    ) -> set[str]:
+        """Returns up to `count` fast workers to leave free for urgent work."""
+        if not self._worker_speeds.is_uneven:
+            return set()
+        names_by_speed: dict[float, list[str]] = defaultdict(list)
+        for name in sorted(capacities.keys() - self._held_workers):
+            names_by_speed[self._worker_speeds.get_speed(name)].append(name)
+        reservable = chain.from_iterable(
+            sorted(
+                names, key=lambda name: bool(self.evictable_units.get(name))
+            )[: int(RESERVABLE_FRACTION * len(names))]
+            for _, names in sorted(names_by_speed.items(), reverse=True)
+        )
+        return set(islice(reservable, max(0, count)))
