--- a/lagoonbeam/site/metrics.py
+++ b/lagoonbeam/site/metrics.py
@@ -62,6 +62,9 @@
         )
         self.client_connections = gauge("client_connections", "Open ones.")
         self.starts = counter("starts", "Start orders by outcome.", "outcome")
+        self.speed_placements = counter(
+            "speed_placements", "Starts on workers of unequal speed.", "speed"
+        )
         self.ends = counter("ends", "Runs that ended, by how.", "how")
         self.lost_core_s = counter(
             "lost_core_seconds", "Work thrown away to make room."
