Weigh what evictions cost callers

Cause: for each urgent unit that did not fit, running units were stopped by lost work alone, also where the urgent job was late either way, and whatever the victim's own objective; gangs of priority 1 were stopped again and again.

Change: the eviction policy caller_cost, now the default. Nothing is stopped for a job that has no value left or is as late by waiting for expected ends; victims are compared by lost work and the value their jobs are expected to lose. Units under a guarantee evict as before. The decision log says what is kept and lost; least_lost stays selectable.

The check that each event is emitted once now also reads the packages under lagoonbeam/site. The fake sessions of the planner's tests and simulations got the elapsed times, progress and metrics that the planner reads.

--- a/benchmarks/site_simulation.py
+++ b/benchmarks/site_simulation.py
@@ -27,6 +27,7 @@
     QUARANTINE_FAILURE_STREAK,
 )
 from lagoonbeam.site.jobs import PlacementUnit, Task
+from lagoonbeam.site.metrics import Metrics
 from lagoonbeam.site.model import JobState, RunEndReason, WorkerReport
 from lagoonbeam.site.planner import make_plan
 from lagoonbeam.site.planner_state import PlannerState
@@ -126,7 +127,9 @@
         self._rng = random.Random(seed)
         self._configuration = fleet.make_configuration()
         self._state = SiteState()
-        decisions: Any = SimpleNamespace(emit=lambda *_, **__: None)
+        decisions: Any = SimpleNamespace(
+            emit=lambda *_, **__: None, metrics=Metrics()
+        )
         self._planner_state = PlannerState(
             decisions, policies=make_policies(policy_names), clock=self._clock
         )
--- a/benchmarks/site_slopes.py
+++ b/benchmarks/site_slopes.py
@@ -22,6 +22,7 @@
 
 from benchmarks.site_scenes import SERVICE_NAME, make_job_kinds
 from lagoonbeam.core.clock import Clock
+from lagoonbeam.site.metrics import Metrics
 from lagoonbeam.site.model import (
     Configuration,
     JobRequest,
@@ -59,7 +60,9 @@
     """
 
     def __init__(self, worker_count: int):
-        decisions: Any = SimpleNamespace(emit=lambda *_, **__: None)
+        decisions: Any = SimpleNamespace(
+            emit=lambda *_, **__: None, metrics=Metrics()
+        )
         self.state = SiteState()
         self.planner_state = PlannerState(decisions, clock=Clock())
         self.kinds = make_job_kinds(1.0)
--- a/lagoonbeam/site/events.py
+++ b/lagoonbeam/site/events.py
@@ -29,6 +29,9 @@
     """A unit could not be placed; logged once for each start."""
     UNIT_EVICTS = "unit.evicts"
     """Running units are stopped to make room for another one."""
+    UNIT_EVICTION_HELD = "unit.eviction_held"
+    """No running units are stopped for an urgent one, as it would cost callers
+    more than it keeps; cause."""
     RUN_START = "run.start"
     """The start of a run was ordered; outcome."""
     RUN_STOP = "run.stop"
--- a/lagoonbeam/site/eviction.py
+++ b/lagoonbeam/site/eviction.py
@@ -28,7 +28,14 @@
 
 
 class EvictionPolicy(ABC):
-    """Orders the units that may be evicted."""
+    """Orders the units that may be evicted.
+
+    Attributes:
+        weighs_caller_cost: Whether evictions depend on what the callers of the
+            urgent unit keep and those of the victims lose by them.
+    """
+
+    weighs_caller_cost = False
 
     @abstractmethod
     def sort_victims(
@@ -38,7 +45,8 @@
 
         Args:
             units: Evictable units.
-            get_cost_core_s: Returns the core-seconds lost if a unit stops.
+            get_cost_core_s: Returns the cost of stopping a unit, as lost
+                core-seconds.
         """
 
 
@@ -58,6 +66,13 @@
         return sorted(units, key=get_cost_core_s)
 
 
+@EVICTION_POLICIES.register("caller_cost")
+class LeastCallerCostFirst(LeastLostWorkFirst):
+    """Evicts first what costs callers the least, and only if it pays."""
+
+    weighs_caller_cost = True
+
+
 @EVICTION_POLICIES.register("youngest_job")
 class YoungestJobFirst(EvictionPolicy):
     """Evicts units of the newest job first; a baseline for comparison."""
--- a/lagoonbeam/site/metrics.py
+++ b/lagoonbeam/site/metrics.py
@@ -59,6 +59,9 @@
         self.lost_core_s = counter(
             "lost_core_seconds", "Work thrown away to make room."
         )
+        self.evictions_held = counter(
+            "evictions_held", "Evictions held back, by cause.", "cause"
+        )
         self.lines_left_out = counter("log_lines_left_out", "Sampled lines.")
         self.lines_dropped = counter("log_lines_dropped", "Full pipe.")
         self.acceptance_latency_s = histogram(
--- a/lagoonbeam/site/planner.py
+++ b/lagoonbeam/site/planner.py
@@ -8,9 +8,10 @@
 from itertools import chain
 
 from lagoonbeam.site.backfill import BackfillLimits, list_held_workers
+from lagoonbeam.site.caller_cost.eviction_decision import decide_eviction
+from lagoonbeam.site.caller_cost.eviction_weighing import EvictionWeighing
 from lagoonbeam.site.delay_scheduling import DelayScheduling
-from lagoonbeam.site.events import Event
-from lagoonbeam.site.eviction import find_eviction, make_lost_work_function
+from lagoonbeam.site.eviction import make_lost_work_function
 from lagoonbeam.site.jobs import PlacementUnit
 from lagoonbeam.site.model import Configuration, QueuePolicy
 from lagoonbeam.site.placement import Assignment, PackingCursor, place_unit
@@ -70,6 +71,14 @@
         self._queue = ReadyQueue(
             planner_state, state, configuration, self._now_s
         )
+        self._weighing = EvictionWeighing(
+            planner_state,
+            state,
+            sessions,
+            self._queue.get_policy,
+            self._queue.guaranteed_job_ids,
+            self._now_s,
+        )
         self._limits = PriorityLimits(
             self._service_capacities,
             self._queue.guaranteed_job_ids,
@@ -362,14 +371,14 @@
             worker: list(units.values())
             for worker, units in self._limits.evictable_units.items()
         }
-        eviction = find_eviction(
+        eviction = decide_eviction(
             unit,
             capacities,
             evictable_units,
+            self._weighing,
+            self._planner_state,
             make_lost_work_function(self._sessions),
             allow_nonlocal=allow_nonlocal,
-            policy=self._planner_state.policies.eviction,
-            packing=self._planner_state.policies.packing,
         )
         if eviction is None:
             return
@@ -379,9 +388,3 @@
         for victim in eviction.victims:
             self._plan.stops.append((victim, unit))
             self._limits.remove_evictable_unit(victim)
-        self._planner_state.decisions.emit(
-            Event.UNIT_EVICTS,
-            task=unit.key,
-            victims=[victim.key for victim in eviction.victims],
-            lost_core_s=round(eviction.cost_core_s, 1),
-        )
--- a/lagoonbeam/site/planner_state.py
+++ b/lagoonbeam/site/planner_state.py
@@ -59,6 +59,7 @@
         self.release_times = ReleaseTimes(self.estimator.estimate_run_s)
         self.tried_unit_keys: set[str] = set()
         self.usage_cache = WorkerUsageCache()
+        self.logged_hold_causes: dict[str, str] = {}
         self.decisions = decisions
         self.advice = advice
         self._logged_runs: dict[str, int] = {}
@@ -95,6 +96,11 @@
             for key, workers in self._avoided_workers.items()
             if _is_job_open(state, key)
         }
+        self.logged_hold_causes = {
+            key: cause
+            for key, cause in self.logged_hold_causes.items()
+            if _is_job_open(state, key)
+        }
         self._logged_runs = {
             key: run
             for key, run in self._logged_runs.items()
--- a/lagoonbeam/site/policies.py
+++ b/lagoonbeam/site/policies.py
@@ -25,7 +25,7 @@
     ordering: str = "earning"
     packing: str = "compact"
     reserve: str = "share_without_holds"
-    eviction: str = "least_lost"
+    eviction: str = "caller_cost"
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/site/test_decision_log.py
+++ b/tests/site/test_decision_log.py
@@ -89,7 +89,7 @@
 
 def test_each_event_is_emitted_at_exactly_one_place() -> None:
     sources = [
-        *(ROOT / "lagoonbeam" / "site").glob("*.py"),
+        *(ROOT / "lagoonbeam" / "site").rglob("*.py"),
         *(ROOT / "platform" / "lagoonbeam_platform").glob("*.py"),
     ]
     emits_by_event = Counter(
--- a/tests/site/test_planner.py
+++ b/tests/site/test_planner.py
@@ -38,7 +38,11 @@
                 f"w{n}", f"r{n // workers_per_rack}", **fields
             ),
             is_usable=True,
-            dispatcher=SimpleNamespace(get_lost_work_s=lambda task: 3.0),
+            dispatcher=SimpleNamespace(
+                get_lost_work_s=lambda task: 3.0,
+                get_elapsed_s=lambda task: 3.0,
+            ),
+            running={},
         )
         for n in range(count)
     }
