--- a/lagoonbeam/site/events.py
+++ b/lagoonbeam/site/events.py
@@ -34,6 +34,9 @@
     """Running units are stopped to make room for another one."""
     UNIT_PLACED_SLOWLY = "unit.placed_slowly"
     """No workers fast enough for a unit were free; its job may be late."""
+    UNIT_EVICTION_HELD = "unit.eviction_held"
+    """No running units are stopped for an urgent one, as it would cost callers
+    more than it keeps; cause."""
     RUN_START = "run.start"
     """The start of a run was ordered; outcome."""
     RUN_STOP = "run.stop"
