Judge whether workers differ from steps on few workers too

Cause: with one run of each step on a worker, nothing told how far the runs of one worker differ, so that uneven workers weren't noticed; a worker that turned slow, or was sound again, was noticed late. The model is split into blocks, the tests of variances, and the fit.

--- a/lagoonbeam/site/worker_speed/speed_levels.py
+++ b/lagoonbeam/site/worker_speed/speed_levels.py
@@ -22,15 +22,15 @@
 """Standard errors of that logarithm that are added to the limit."""
 SPREAD_HYSTERESIS = 0.4
 """Share of the limit below which workers count as equal again."""
-MIN_SPREAD_RATIO = 1e-9
-"""Ratio of variances that is assumed at least, to take its logarithm."""
 MIN_SCORE = 1.5
 """Standard errors from the usual speed if workers are known to differ."""
 MIN_LONE_SCORE = 6.0
 """Standard errors from the usual speed if the other workers are equal."""
+LONE_HYSTERESIS = 0.5
+"""Share of the limits below which such a worker counts as usual again."""
 MIN_LONE_LOG_SPEED = 0.3
 """Distance from the usual speed if the other workers are equal."""
-MIN_LONE_STEPS = 3
+MIN_LONE_STEPS = 2
 """Steps that must have run on a worker if the other workers are equal."""
 
 
@@ -46,14 +46,13 @@
         fit: The fitted effects.
         was_significant: The answer by the last fit.
     """
-    spread = fit.spread
-    if len(fit.effects) < MIN_WORKERS or not math.isfinite(
-        spread.standard_error
-    ):
+    if len(fit.effects) < MIN_WORKERS:
         return was_significant
-    limit = SPREAD_LIMIT + SPREAD_DEVIATIONS * spread.standard_error
-    return math.log(max(spread.ratio, MIN_SPREAD_RATIO)) > (
-        SPREAD_HYSTERESIS * limit if was_significant else limit
+    share = SPREAD_HYSTERESIS if was_significant else 1.0
+    return any(
+        ratio.log_ratio
+        > share * (SPREAD_LIMIT + SPREAD_DEVIATIONS * ratio.standard_error)
+        for ratio in (fit.spread.between_cells, fit.spread.between_workers)
     )
 
 
@@ -72,7 +71,7 @@
         worker: _round_to_level(
             _find_supported_log_speed(effect, worker_variance)
             if is_spread
-            else _find_lone_log_speed(effect),
+            else _find_lone_log_speed(effect, previous.get(worker, 0)),
             previous.get(worker, 0),
         )
         for worker, effect in fit.effects.items()
@@ -88,13 +87,14 @@
     return log_speed if abs(log_speed) >= MIN_SCORE * standard_error else 0.0
 
 
-def _find_lone_log_speed(effect: Effect) -> float:
+def _find_lone_log_speed(effect: Effect, previous: int) -> float:
     """Returns the log speed of a worker that differs from equal ones."""
+    share = LONE_HYSTERESIS if previous else 1.0
     is_significant = (
         effect.step_count >= MIN_LONE_STEPS
-        and abs(effect.log_speed) >= MIN_LONE_LOG_SPEED
+        and abs(effect.log_speed) >= share * MIN_LONE_LOG_SPEED
         and abs(effect.log_speed) * math.sqrt(effect.precision)
-        >= MIN_LONE_SCORE
+        >= share * MIN_LONE_SCORE
     )
     return effect.log_speed if is_significant else 0.0
 
--- a/lagoonbeam/site/worker_speed/worker_speeds.py
+++ b/lagoonbeam/site/worker_speed/worker_speeds.py
@@ -8,17 +8,14 @@
 
 from lagoonbeam.site.jobs import Task
 from lagoonbeam.site.worker_capacity import get_step_key
+from lagoonbeam.site.worker_speed.speed_blocks import GroupKey, Observation
 from lagoonbeam.site.worker_speed.speed_levels import (
     LEVEL_RATIO,
     find_levels,
     get_level_speed,
     is_spread_significant,
 )
-from lagoonbeam.site.worker_speed.speed_model import (
-    GroupKey,
-    Observation,
-    fit_effects,
-)
+from lagoonbeam.site.worker_speed.speed_model import fit_effects
 from lagoonbeam.types import WorkerName
 
 USUAL_SPEED = 1.0
