--- a/harness/presumed_end_mutations.py
+++ b/harness/presumed_end_mutations.py
@@ -165,4 +165,30 @@
         "tests/site/test_late_starts.py"
         "::test_start_without_an_answer_outlasts_the_lease_of_a_silent_worker",
     ),
+    Mutation(
+        "site: a run on a life whose clock began anew holds the longest lease",
+        "lagoonbeam/site/run_dispatcher.py",
+        "            self._lease.record_start_answer(clock_ms, sent_s)\n",
+        "",
+        "tests/site/test_silent_workers.py"
+        "::test_run_begun_on_a_new_life_of_a_silent_worker_does_not_run_twice",
+    ),
+    Mutation(
+        "site: late orders to an earlier life may extend a lease",
+        "lagoonbeam/site/lease.py",
+        "        if self.is_of_another_life(worker_clock_ms, sent_s):\n"
+        "            self._unfenced_readings = UNFENCED_READINGS\n"
+        "        now_s",
+        "        now_s",
+        "tests/site/test_lease.py"
+        "::test_new_life_of_a_worker_may_hold_the_longest_lease",
+    ),
+    Mutation(
+        "site: leases are renewed while the journal stores ends",
+        "lagoonbeam/site/silent_workers/lease_renewer.py",
+        "            if not self.may_renew:",
+        "            if True:",
+        "tests/site/test_silent_workers.py"
+        "::test_store_outage_ends_no_sound_run",
+    ),
 ]
