Drain an instance in the soak once it handles the signal

Change: the harness waits until the process handles the signal, has ended or had its time to start. The check of the exit codes stays as it was.

--- a/harness/cluster.py
+++ b/harness/cluster.py
@@ -216,10 +216,15 @@
             self.processes[f"{name}-{program}"].wait()
 
     def drain_instance(self, name: str, timeout_s: float = 60.0) -> list[int]:
-        """Drains an instance; returns the exit codes of its two processes."""
+        """Drains an instance; returns the exit codes of its two processes.
+
+        A process that has just been started has nothing to drain, and ends by
+        the signal; it gets time to start.
+        """
         exit_codes = []
         for program in ("entry", "scheduler"):
             process = self.processes[f"{name}-{program}"]
+            self.wait_for_handler(f"{name}-{program}", signal.SIGTERM)
             process.send_signal(signal.SIGTERM)
             exit_codes.append(process.wait(timeout_s))
         return exit_codes
--- a/harness/process_group.py
+++ b/harness/process_group.py
@@ -62,6 +62,26 @@
         """Returns whether a process has not exited."""
         return self.processes[name].poll() is None
 
+    def wait_for_handler(
+        self, name: str, signal_number: signal.Signals
+    ) -> None:
+        """Waits until a process handles a signal, has ended or is too late."""
+        deadline_s = time.monotonic() + START_TIMEOUT_S
+        while (
+            self.is_running(name)
+            and not self._handles_signal(name, signal_number)
+            and time.monotonic() < deadline_s
+        ):
+            time.sleep(POLL_INTERVAL_S)
+
+    def _handles_signal(self, name: str, signal_number: int) -> bool:
+        status_path = Path(f"/proc/{self.processes[name].pid}/status")
+        with contextlib.suppress(OSError, IndexError):
+            status = status_path.read_text()
+            handled = int(status.partition("SigCgt:")[2].split()[0], 16)
+            return bool(handled >> (signal_number - 1) & 1)
+        return False
+
     def send_signal(self, name: str, signal_number: int) -> None:
         """Sends a signal to a process."""
         self.processes[name].send_signal(signal_number)
--- a/tests/test_cluster.py
+++ b/tests/test_cluster.py
@@ -28,3 +28,20 @@
             name for name in cluster.processes if cluster.is_running(name)
         ]
         assert not running
+
+    def test_signal_is_sent_to_a_process_that_handles_it(
+        self, tmp_path: Path
+    ) -> None:
+        """A process that had just been restarted ended by the signal."""
+        cluster = Cluster(ClusterConfig(zones=["z1"]), tmp_path)
+        program = (
+            "import signal, sys, time; time.sleep(0.3);"
+            "signal.signal(signal.SIGTERM, lambda *_: sys.exit(0));"
+            "time.sleep(30)"
+        )
+        for name in ("z1-0-entry", "z1-0-scheduler"):
+            cluster.start_process(name, "-c", program)
+        try:
+            assert cluster.drain_instance("z1-0") == [0, 0]
+        finally:
+            cluster.close()
