--- a/lagoonbeam/site/silent_workers/lease_durations.py
+++ b/lagoonbeam/site/silent_workers/lease_durations.py
@@ -16,7 +16,8 @@
 SHORT_LEASE_S = 4.0
 """Lease of a worker that only has short runs; outlasts one takeover."""
 STEADY_LEASE_S = 6.0
-"""Lease of other workers; outlasts two takeovers in a row."""
+"""Lease of workers with urgent runs beside others; outlasts two takeovers in a
+row."""
 MAX_CONFIRMATION_AGE_S = 1.0
 """Time since the last confirmed append from which on leases are the longest."""
 TERM_SETTLING_S = 5.0
@@ -56,9 +57,20 @@
             or time.monotonic() - self.created_at_s < TERM_SETTLING_S
         ):
             return self.max_s
-        if all(map(_is_short, tasks)):
+        placed_tasks = list(tasks)
+        if all(map(_is_short, placed_tasks)):
             return SHORT_LEASE_S
-        return STEADY_LEASE_S
+        if any(map(_is_urgent, placed_tasks)):
+            return STEADY_LEASE_S
+        return self.max_s
+
+
+def _is_urgent(task: Task) -> bool:
+    """Whether a task's job cannot wait for a long lease to expire."""
+    unit = task.unit
+    return (
+        unit.job.request.queue.priority == 0 and not unit.spec.is_long_running
+    )
 
 
 def _is_short(task: Task) -> bool:
