Keep the speeds of workers while only equally fast ones run

Cause: when all runs were on workers of one speed, these were equal among each other: the spread ended and all workers counted as usual after 50 s. Weights that differed between the two sides of a comparison let the estimates of such workers drift besides. Change: effects are fitted by weighted least squares, in which workers that are compared only with each other keep what they have in common. A worker without runs keeps its estimate alone, which fades in some minutes. The spread ends when the estimates themselves are near the usual speed.

--- a/lagoonbeam/site/worker_speed/speed_blocks.py
+++ b/lagoonbeam/site/worker_speed/speed_blocks.py
@@ -36,8 +36,8 @@
     """Log paces of the runs of one step on one worker.
 
     Attributes:
-        group: What the step is compared with; None for an estimate of an
-            earlier term, which is relative to the usual worker.
+        group: What the step is compared with; None for an estimate that no
+            runs are kept of, which is relative to the usual worker.
         step: The step.
         updated_at_s: Monotonic time of the newest change.
         log_paces: The log pace of each run.
@@ -48,6 +48,11 @@
     updated_at_s: float
     log_paces: dict[RunKey, float] = field(default_factory=dict)
 
+    def shift(self, difference: float) -> None:
+        """Adds a difference to all log paces."""
+        for run_key in self.log_paces:
+            self.log_paces[run_key] += difference
+
 
 @dataclass(slots=True)
 class Cell:
--- a/lagoonbeam/site/worker_speed/speed_levels.py
+++ b/lagoonbeam/site/worker_speed/speed_levels.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+import statistics
 from collections.abc import Mapping
 
 from lagoonbeam.site.worker_speed.speed_model import Effect, Fit
@@ -20,8 +21,10 @@
 """Logarithm of the ratio of variances from which workers may differ."""
 SPREAD_DEVIATIONS = 4.5
 """Standard errors of that logarithm that are added to the limit."""
-SPREAD_HYSTERESIS = 0.4
-"""Share of the limit below which workers count as equal again."""
+EQUAL_SCORE = 2.0
+"""Mean squared score below which workers count as equal again."""
+MAX_SQUARED_SCORE = 50.0
+"""Bounds what one worker adds to this mean."""
 MIN_SCORE = 1.5
 """Standard errors from the usual speed if workers are known to differ."""
 MIN_LONE_SCORE = 6.0
@@ -48,10 +51,12 @@
     """
     if len(fit.effects) < MIN_WORKERS:
         return was_significant
-    share = SPREAD_HYSTERESIS if was_significant else 1.0
+    if was_significant and _measure_mean_score(fit) > EQUAL_SCORE:
+        # The workers in use may be those that are equally fast.
+        return True
     return any(
         ratio.log_ratio
-        > share * (SPREAD_LIMIT + SPREAD_DEVIATIONS * ratio.standard_error)
+        > SPREAD_LIMIT + SPREAD_DEVIATIONS * ratio.standard_error
         for ratio in (fit.spread.between_cells, fit.spread.between_workers)
     )
 
@@ -66,7 +71,9 @@
         previous: The levels by the last fit.
         is_spread: Whether the workers as a whole differ.
     """
-    worker_variance = fit.spread.worker_variance
+    worker_variance = max(
+        fit.spread.worker_variance, _measure_effect_variance(fit)
+    )
     levels = {
         worker: _round_to_level(
             _find_supported_log_speed(effect, worker_variance)
@@ -79,19 +86,36 @@
     return {worker: level for worker, level in levels.items() if level}
 
 
+def _measure_mean_score(fit: Fit) -> float:
+    """Returns the mean squared effect in units of its variance."""
+    return statistics.fmean(
+        min(MAX_SQUARED_SCORE, effect.log_speed**2 * effect.precision)
+        for effect in fit.effects.values()
+    )
+
+
+def _measure_effect_variance(fit: Fit) -> float:
+    """Returns by how much the effects vary beyond what is uncertain of them."""
+    if not fit.effects:
+        return 0.0
+    excess = (_measure_mean_score(fit) - 1.0) * len(fit.effects)
+    return excess / sum(effect.precision for effect in fit.effects.values())
+
+
 def _find_supported_log_speed(effect: Effect, worker_variance: float) -> float:
     """Returns the log speed that is expected, given the spread of workers."""
-    trust = worker_variance / (worker_variance + 1.0 / effect.precision)
-    log_speed = trust * effect.log_speed
-    standard_error = math.sqrt(trust / effect.precision)
+    log_speed = effect.shrink(worker_variance)
+    standard_error = math.sqrt(
+        worker_variance / (worker_variance * effect.precision + 1.0)
+    )
     return log_speed if abs(log_speed) >= MIN_SCORE * standard_error else 0.0
 
 
 def _find_lone_log_speed(effect: Effect, previous: int) -> float:
     """Returns the log speed of a worker that differs from equal ones."""
     share = LONE_HYSTERESIS if previous else 1.0
-    is_significant = (
-        effect.step_count >= MIN_LONE_STEPS
+    is_significant = bool(
+        (previous or effect.step_count >= MIN_LONE_STEPS)
         and abs(effect.log_speed) >= share * MIN_LONE_LOG_SPEED
         and abs(effect.log_speed) * math.sqrt(effect.precision)
         >= share * MIN_LONE_SCORE
--- a/lagoonbeam/site/worker_speed/speed_model.py
+++ b/lagoonbeam/site/worker_speed/speed_model.py
@@ -35,10 +35,8 @@
 
 ITERATIONS = 4
 """Passes of a fit; it starts from the result of the last one."""
-DAMPING = 0.6
-"""Share of a worker's effect that one pass replaces."""
-SEED_PRECISION = 20.0
-"""Precision of an estimate of an earlier term."""
+SEED_PRECISION = 60.0
+"""Precision of an estimate that no runs are kept of."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -55,6 +53,15 @@
     precision: float
     step_count: int
 
+    def shrink(self, worker_variance: float) -> float:
+        """Returns the log speed that is expected, given that of others.
+
+        Args:
+            worker_variance: Variance of the log speeds of workers.
+        """
+        trust = worker_variance / (worker_variance + 1.0 / self.precision)
+        return trust * self.log_speed
+
 
 @dataclass(frozen=True, slots=True)
 class Fit:
@@ -63,13 +70,13 @@
     Attributes:
         effects: Effect of each worker.
         spread: Differences of workers.
-        log_speeds: Effects of workers, those that are known less well moved
-            towards the median worker; the next fit starts from them.
+        median: Effect of the median worker before all were taken relative to
+            it.
     """
 
     effects: Mapping[WorkerName, Effect]
     spread: Spread
-    log_speeds: Mapping[WorkerName, float]
+    median: float
 
 
 def fit_effects(
@@ -95,7 +102,7 @@
             (False, GROUP_DEVIATION),
         )
     }
-    between_cells, measured_variance = compare_cells(blocks, variances)
+    run_variances = {key: variance for key, (variance, _) in variances.items()}
     seeds = {
         worker: Residual(log_pace, SEED_PRECISION, weigh_age(item, now_s))
         for worker, items in observations.items()
@@ -103,32 +110,30 @@
         if item.group is None
         for log_pace in item.log_paces.values()
     }
-    worker_variance = max(
-        measured_variance,
-        statistics.pvariance([seed.log_pace for seed in seeds.values()])
-        if seeds
-        else 0.0,
-    )
-    run_variances = {key: variance for key, (variance, _) in variances.items()}
-    shrunk = dict(log_speeds)
     for _ in range(ITERATIONS):
-        raw, shrunk, precisions = _update_effects(
-            blocks,
-            shrunk,
-            seeds,
-            run_variances,
-            worker_variance,
-        )
+        log_speeds = _update_effects(blocks, log_speeds, seeds, run_variances)
+    residuals = _list_residuals(blocks, log_speeds, run_variances)
+    for worker, seed in seeds.items():
+        residuals.setdefault(worker, []).append(seed)
+    median = statistics.median(log_speeds.values()) if log_speeds else 0.0
     effects = {
-        worker: Effect(raw[worker], precision, len(observations[worker]))
-        for worker, precision in precisions.items()
+        worker: Effect(
+            log_speeds[worker] - median,
+            sum(item.weight * item.precision for item in items),
+            len(observations[worker]),
+        )
+        for worker, items in residuals.items()
+    }
+    between_cells, worker_variance = compare_cells(blocks, variances)
+    cautious = {
+        worker: effect.shrink(worker_variance)
+        for worker, effect in effects.items()
     }
-    spread = Spread(
-        between_cells,
-        compare_workers(_list_residuals(blocks, shrunk, run_variances)),
-        worker_variance,
+    between_workers = compare_workers(
+        _list_residuals(blocks, cautious, run_variances)
     )
-    return Fit(effects, spread, shrunk)
+    spread = Spread(between_cells, between_workers, worker_variance)
+    return Fit(effects, spread, median)
 
 
 def _list_residuals(
@@ -169,40 +174,30 @@
     log_speeds: Mapping[WorkerName, float],
     seeds: Mapping[WorkerName, Residual],
     variances: Mapping[bool, float],
-    worker_variance: float,
-) -> tuple[
-    dict[WorkerName, float], dict[WorkerName, float], dict[WorkerName, float]
-]:
-    """Updates the workers' effects from those of the other workers.
-
-    Returns:
-        The effects, these moved towards the median worker, and the precisions.
+) -> dict[WorkerName, float]:
+    """Takes one step towards the least squares of all residuals.
+
+    The weight of a run is the same wherever it counts, so that workers that
+    are compared only with each other keep their common effect.
     """
-    residuals = _list_residuals(blocks, log_speeds, variances)
+    sums: dict[WorkerName, float] = defaultdict(float)
+    weights: dict[WorkerName, float] = defaultdict(float)
     for worker, seed in seeds.items():
-        residuals.setdefault(worker, []).append(seed)
-    precisions = {
-        worker: precision
-        for worker, items in residuals.items()
-        if (precision := sum(item.weight * item.precision for item in items))
-        > 0
-    }
-    raw = {
-        worker: sum(
-            item.weight * item.precision * item.log_pace
-            for item in residuals[worker]
-        )
-        / precision
-        for worker, precision in precisions.items()
-    }
-    anchor = statistics.median(raw.values()) if raw else 0.0
-    raw = {worker: effect - anchor for worker, effect in raw.items()}
-    shrunk = {
-        worker: DAMPING
-        * effect
-        * worker_variance
-        / (worker_variance + 1.0 / precisions[worker])
-        + (1.0 - DAMPING) * log_speeds.get(worker, 0.0)
-        for worker, effect in raw.items()
-    }
-    return raw, shrunk, precisions
+        weights[worker] += seed.weight * seed.precision
+        sums[worker] += seed.weight * seed.precision * seed.log_pace
+    for block in blocks:
+        if len(block.cells) < 2:
+            continue
+        shares = {
+            worker: cell.weight
+            / (variances[block.is_step] / cell.count + MIN_WORKER_VARIANCE)
+            for worker, cell in block.cells.items()
+        }
+        level = sum(
+            shares[worker] * (cell.mean - log_speeds.get(worker, 0.0))
+            for worker, cell in block.cells.items()
+        ) / sum(shares.values())
+        for worker, cell in block.cells.items():
+            sums[worker] += shares[worker] * (cell.mean - level)
+            weights[worker] += shares[worker]
+    return {worker: sums[worker] / weights[worker] for worker in weights}
--- a/lagoonbeam/site/worker_speed/worker_speeds.py
+++ b/lagoonbeam/site/worker_speed/worker_speeds.py
@@ -22,14 +22,19 @@
 """Speed of a worker of which nothing else is known."""
 FIT_INTERVAL_S = 0.5
 """Shortest interval between two fits."""
+FIT_INTERVAL_PER_WORKER_S = 0.005
+"""Time by which each worker prolongs the interval, as a fit takes longer."""
 MAX_WORKERS = 2_000
 """Workers that are kept; those not observed for longest are dropped."""
-MAX_STEPS_PER_WORKER = 8
+MAX_STEPS_PER_WORKER = 12
 """Steps that are kept of each worker; the oldest are dropped."""
 MAX_RUNS_PER_STEP = 16
 """Runs that are kept of each step on a worker."""
 MAX_AGE_S = 600.0
 """Age after which an observation is dropped."""
+REST_S = 20.0
+"""Time without a run after which a worker keeps its estimate alone; those that
+its runs were compared with may not run either."""
 
 
 class WorkerSpeeds:
@@ -91,7 +96,7 @@
             worker: math.log(speed) for worker, speed in speeds.items()
         }
         self._observations = {
-            worker: [Observation(None, None, now_s, {(worker, 0): log_speed})]
+            worker: [_make_estimate(worker, log_speed, now_s)]
             for worker, log_speed in self._log_speeds.items()
         }
         levels = {
@@ -147,16 +152,23 @@
         Args:
             now_s: Monotonic time.
         """
-        if (
-            not self._is_changed
-            or 0 <= now_s - self._fitted_at_s < FIT_INTERVAL_S
-        ):
+        interval_s = (
+            FIT_INTERVAL_S + len(self._observations) * FIT_INTERVAL_PER_WORKER_S
+        )
+        if not self._is_changed or 0 <= now_s - self._fitted_at_s < interval_s:
             return
         self._fitted_at_s = now_s
         self._is_changed = False
         self._drop_old(now_s)
+        self._reduce_resting(now_s)
         fit = fit_effects(self._observations, self._log_speeds, now_s)
-        self._log_speeds = dict(fit.log_speeds)
+        self._log_speeds = {
+            worker: effect.log_speed for worker, effect in fit.effects.items()
+        }
+        for items in self._observations.values():
+            for item in items:
+                if item.group is None:
+                    item.shift(-fit.median)
         self._is_spread = is_spread_significant(
             fit, was_significant=self._is_spread
         )
@@ -177,6 +189,19 @@
             worker: items for worker, items in kept.items() if items
         }
 
+    def _reduce_resting(self, now_s: float) -> None:
+        """Replaces the runs of workers that have no runs by an estimate."""
+        for worker, items in list(self._observations.items()):
+            newest_s = max(item.updated_at_s for item in items)
+            if now_s - newest_s < REST_S:
+                continue
+            if worker in self._log_speeds:
+                self._observations[worker] = [
+                    _make_estimate(worker, self._log_speeds[worker], newest_s)
+                ]
+            else:
+                del self._observations[worker]
+
     def _set_levels(self, levels: dict[WorkerName, int]) -> None:
         changed = {
             worker
@@ -194,6 +219,13 @@
             )
 
 
+def _make_estimate(
+    worker: WorkerName, log_speed: float, now_s: float
+) -> Observation:
+    """Makes an observation of an estimate that no runs are kept of."""
+    return Observation(None, None, now_s, {(worker, 0): log_speed})
+
+
 def _get_group(task: Task) -> GroupKey:
     step = task.unit.spec
     queue = task.unit.job.request.queue.name
