Leave runs away from their rack out of the run times

Cause: a run outside its data's rack, or a gang over several racks that needs one, takes several times as long, but counted in the queue's mean, which stands for local placement. Change: such runs are left out; later members of a gang, whose placements are cleared already, don't count where the run time depends on the workers. Result: test_run_time_away_from_the_rack_is_left_out.

--- a/lagoonbeam/site/worker_speed/speed_monitor.py
+++ b/lagoonbeam/site/worker_speed/speed_monitor.py
@@ -129,22 +129,27 @@
         """
         if not (math.isfinite(run_s) and run_s > 0):
             return
-        now_s = time.monotonic()
-        unit = task.unit
-        queue = unit.job.request.queue.name
-        if unit.spec.is_gang:
-            workers = _list_workers(task)
-            # The first end of a gang clears the placements of all members.
-            if not self._speeds.is_uneven or len(workers) == len(unit.tasks):
-                self._estimator.record_run(queue, run_s, [worker, *workers])
-            return
-        if self._is_remote(task):
+        workers = _list_workers(task)
+        # The first end of a gang clears the placements of all members.
+        is_whole = len(workers) == len(task.unit.tasks)
+        if self._is_remote(task) or (
+            not is_whole and self._depends_on_workers(task)
+        ):
             return
-        self._estimator.record_run(queue, run_s, [worker])
-        if self._tells_speed(worker, task):
+        queue = task.unit.job.request.queue.name
+        self._estimator.record_run(queue, run_s, [worker, *workers])
+        if not task.unit.spec.is_gang and self._tells_speed(worker, task):
+            now_s = time.monotonic()
             self._speeds.record_run(worker, task, run_s, now_s)
             self._speeds.update(now_s)
 
+    def _depends_on_workers(self, task: Task) -> bool:
+        """Whether the run time depends on which workers a unit runs on."""
+        step = task.unit.spec
+        return self._speeds.is_uneven or bool(
+            step.data_rack or step.is_one_rack
+        )
+
     def _find_start_s(
         self, worker: WorkerName, task: Task, now_s: float
     ) -> float | None:
--- a/tests/site/test_speed_monitor.py
+++ b/tests/site/test_speed_monitor.py
@@ -172,6 +172,35 @@
     assert term.planner_state.estimator.estimate_run_s(unit) == 6.4
 
 
+@pytest.mark.parametrize(
+    ("step", "worker"),
+    [
+        (Step(data_rack="r0", estimated_s=3.0), "w2"),
+        (
+            Step(count=2, is_gang=True, is_one_rack=True, estimated_s=3.0),
+            "w2",
+        ),
+    ],
+)
+def test_run_time_away_from_the_rack_is_left_out(
+    step: Step, worker: str
+) -> None:
+    state = SiteState()
+    (unit,) = accept_job(state, make_job("a", step))
+    workers = ["w0", worker][-len(unit.tasks) :]
+    placements = tuple(
+        Placement(task.task_id, 1, name, 1)
+        for task, name in zip(unit.tasks, workers, strict=True)
+    )
+    state.apply(RunsPlaced(placements))
+    term = MonitoredTerm(state)
+    term.monitor.observe_end(worker, unit.tasks[-1], 9.0)
+    for task in unit.tasks:
+        state.clear_placement(task)
+    term.monitor.observe_end(worker, unit.tasks[-1], 9.0)
+    assert term.planner_state.estimator.estimate_run_s(unit) == 3.0
+
+
 @pytest.mark.parametrize("run_s", [0.0, -1.0, float("nan")])
 def test_run_time_of_a_clock_that_jumped_is_ignored(run_s: float) -> None:
     state = SiteState()
