--- a/lagoonbeam/site/policies.py
+++ b/lagoonbeam/site/policies.py
@@ -25,7 +25,7 @@
     ordering: str = "earning"
     packing: str = "compact"
     reserve: str = "share_without_holds"
-    eviction: str = "caller_cost"
+    eviction: str = "least_lost"
 
 
 @dataclass(frozen=True, slots=True)
