Hold evictions back for worthless jobs only; scale lost work by value

Change: only jobs without value left evict nothing; a victim's cost is its lost work times the value at stake.

--- a/lagoonbeam/site/caller_cost/eviction_decision.py
+++ b/lagoonbeam/site/caller_cost/eviction_decision.py
@@ -42,7 +42,7 @@
     costs = weighing.make_victim_costs(unit)
     outlook = None
     if is_weighed:
-        outlook = weighing.assess_urgent(unit, capacities, allow_nonlocal)
+        outlook = weighing.assess_urgent(unit)
         if outlook.hold_cause is not None:
             _log_held_back(planner_state, unit, outlook)
             return None
@@ -75,7 +75,6 @@
         return {}
     return {
         "value": outlook.value_if_evicting.name.lower(),
-        "value_without": outlook.value_if_waiting.name.lower(),
         "victim_losses": _describe_victims(eviction, costs),
     }
 
@@ -107,5 +106,4 @@
         task=unit.key,
         cause=cause,
         value=outlook.value_if_evicting.name.lower(),
-        value_without=outlook.value_if_waiting.name.lower(),
     )
--- a/lagoonbeam/site/caller_cost/eviction_weighing.py
+++ b/lagoonbeam/site/caller_cost/eviction_weighing.py
@@ -6,7 +6,6 @@
 from collections.abc import Callable, Mapping, Set
 from dataclasses import dataclass
 
-from lagoonbeam.site.caller_cost.capacity_forecast import fits_by
 from lagoonbeam.site.caller_cost.job_losses import (
     JobLosses,
     has_objective,
@@ -19,7 +18,6 @@
 from lagoonbeam.site.run_time_estimator import JobValue
 from lagoonbeam.site.session import WorkerSession
 from lagoonbeam.site.state import SiteState
-from lagoonbeam.site.worker_capacity import CapacityMap
 
 STOP_S = 0.5
 """Usual time from an eviction until the capacity is free."""
@@ -28,21 +26,19 @@
 class HoldCause(enum.StrEnum):
     """Why nothing is evicted for an urgent unit."""
 
-    NO_VALUE_KEPT = "its job is as late either way"
+    NO_VALUE_LEFT = "its job would have no value left"
 
 
 @dataclass(frozen=True, slots=True)
 class UrgentOutlook:
-    """What the job of an urgent unit is worth with and without an eviction.
+    """What the job of an urgent unit is worth after an eviction.
 
     Attributes:
         value_if_evicting: Value if capacity is evicted for it now.
-        value_if_waiting: Value if it waits for runs to end by themselves.
         hold_cause: Why nothing is to be evicted for it, if so.
     """
 
     value_if_evicting: JobValue
-    value_if_waiting: JobValue
     hold_cause: HoldCause | None = None
 
 
@@ -99,46 +95,21 @@
             or not has_objective(self._get_policy(unit.job))
         )
 
-    def assess_urgent(
-        self, unit: PlacementUnit, capacities: CapacityMap, allow_nonlocal: bool
-    ) -> UrgentOutlook:
-        """Returns what an eviction for a unit that fits nowhere would keep.
+    def assess_urgent(self, unit: PlacementUnit) -> UrgentOutlook:
+        """Returns what a unit that fits nowhere is worth after an eviction.
 
         Args:
             unit: The unit.
-            capacities: Free capacity of usable workers of its service.
-            allow_nonlocal: See `place_unit`.
         """
         run_s = self._planner_state.estimator.estimate_run_s(unit)
         window = self._losses.get_window(unit)
         value_if_evicting = window.get_value(self._now_s + STOP_S + run_s)
         if not self._may_be_held(unit):
-            return UrgentOutlook(value_if_evicting, JobValue.NONE)
-
-        def fits(start_s: float) -> bool:
-            return fits_by(
-                unit,
-                capacities,
-                self._list_releases,
-                start_s,
-                allow_nonlocal=allow_nonlocal,
-            )
+            return UrgentOutlook(value_if_evicting)
 
         if value_if_evicting is JobValue.NONE:
-            return UrgentOutlook(
-                JobValue.NONE, JobValue.NONE, HoldCause.NO_VALUE_KEPT
-            )
-        value_if_waiting = JobValue.NONE
-        if value_if_evicting is JobValue.FULL and fits(
-            window.full_until_s - run_s
-        ):
-            value_if_waiting = JobValue.FULL
-        elif fits(window.reduced_until_s - run_s):
-            value_if_waiting = JobValue.REDUCED
-        hold_cause = None
-        if value_if_evicting is value_if_waiting is JobValue.REDUCED:
-            hold_cause = HoldCause.NO_VALUE_KEPT
-        return UrgentOutlook(value_if_evicting, value_if_waiting, hold_cause)
+            return UrgentOutlook(value_if_evicting, HoldCause.NO_VALUE_LEFT)
+        return UrgentOutlook(value_if_evicting)
 
     def _list_releases(self, worker: str) -> list[Release]:
         releases = self._planner_state.release_times.get(
--- a/lagoonbeam/site/caller_cost/victim_costs.py
+++ b/lagoonbeam/site/caller_cost/victim_costs.py
@@ -2,16 +2,22 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass
 
-from lagoonbeam.site.caller_cost.capacity_forecast import ReleaseLookup
 from lagoonbeam.site.caller_cost.job_losses import JobLosses
 from lagoonbeam.site.jobs import PlacementUnit
+from lagoonbeam.site.release_times import Release
 from lagoonbeam.site.run_time_estimator import RunTimeEstimator
 from lagoonbeam.site.session import WorkerSession
 from lagoonbeam.site.worker_capacity import count_core_equivalents
 
+ReleaseLookup = Callable[[str], Sequence[Release]]
+"""Returns the expected ends on a worker in wall clock time, earliest first."""
+LOST_VALUE_WEIGHT = 4.0
+"""Weight of the value that is lost with a core-second of work, relative to the
+core-second itself."""
+
 
 @dataclass(frozen=True, slots=True)
 class VictimCost:
@@ -21,7 +27,7 @@
         lost_core_s: Core-seconds of work that are thrown away.
         lost_value: Weighted share of its job's value that the caller loses.
         cost_core_s: Core-seconds by which victims are compared: the lost work,
-            and the unit's work in proportion to the value that is lost.
+            the more so the more value is lost with it.
     """
 
     lost_core_s: float
@@ -87,9 +93,10 @@
         lost_value = self._job_losses.compute_loss(
             unit, end_s, self._restart_s + remaining_s
         )
-        work_core_s = core_equivalents * len(unit.tasks) * run_s
         return VictimCost(
-            lost_core_s, lost_value, lost_core_s + lost_value * work_core_s
+            lost_core_s,
+            lost_value,
+            lost_core_s * (1.0 + LOST_VALUE_WEIGHT * lost_value),
         )
 
     def _get_expected_end_s(self, unit: PlacementUnit) -> float:
