Add ordering policies by slack and by work for the value

Cause: two jobs of full value went by age whatever slack they had, and much work for one job went before little work for several.

Change: least_slack ranks by the time until which a unit must start; value_density also defers jobs by their work relative to the median, at most by half of the time in which they have their value, so that no job starves behind later ones.

Run times are estimated by queue, so slack and age order the jobs of one queue alike.

--- a/tests/site/test_policies.py
+++ b/tests/site/test_policies.py
@@ -15,8 +15,10 @@
 from lagoonbeam.site.ordering import (
     FirstComeFirstServed,
     JobValueFirst,
+    LeastSlackFirst,
     PriorityFirst,
     RankingAttributes,
+    ValueDensityFirst,
 )
 from lagoonbeam.site.packing import (
     FirstFit,
@@ -89,6 +91,47 @@
     assert sorted(units, key=FirstComeFirstServed().rank)[0] is normal
 
 
+def test_slack_goes_before_age_within_a_priority_and_value() -> None:
+    old = make_attributes(eligible_at_s=1.0, latest_start_s=90.0)
+    short_of_slack = make_attributes(eligible_at_s=9.0, latest_start_s=20.0)
+    late = make_attributes(job_value=JobValue.REDUCED, latest_start_s=10.0)
+    worthless = make_attributes(job_value=JobValue.NONE, latest_start_s=0.0)
+    urgent = make_attributes(priority=0, latest_start_s=95.0)
+    units = [worthless, late, old, short_of_slack, urgent]
+    assert sorted(units, key=LeastSlackFirst().rank) == [
+        urgent,
+        short_of_slack,
+        old,
+        late,
+        worthless,
+    ]
+
+
+@pytest.mark.parametrize("relative_work", [3.0, 1000.0])
+def test_much_work_defers_a_job_for_a_bounded_time(
+    relative_work: float,
+) -> None:
+    """The largest jobs do not starve behind a flood of small ones."""
+    large = make_attributes(
+        latest_start_s=40.0, value_period_s=30.0, relative_work=relative_work
+    )
+    small, later, last = (
+        make_attributes(
+            latest_start_s=latest_start_s,
+            value_period_s=30.0,
+            relative_work=0.1,
+        )
+        for latest_start_s in (40.0, 45.0, 56.0)
+    )
+    units = [last, large, later, small]
+    assert sorted(units, key=ValueDensityFirst().rank) == [
+        small,
+        later,
+        large,
+        last,
+    ]
+
+
 def test_packing_policies() -> None:
     state = SiteState()
     (unit,) = accept_job(state, make_job("a", Step(accelerators=2)))
