--- a/lagoonbeam/site/silent_workers/lease_renewer.py
+++ b/lagoonbeam/site/silent_workers/lease_renewer.py
@@ -17,6 +17,8 @@
 
 RENEWAL_INTERVAL_S = 1.0
 """Interval of the renewals while the journal does not answer."""
+RENEWAL_RETRY_S = 0.2
+"""Delay before the next call to a worker that did not answer."""
 
 
 class LeaseRenewer:
@@ -82,16 +84,23 @@
         return is_stored
 
     async def _renew_until_cancelled(self, acked_sequence: int) -> None:
+        is_answering = True
+        delay_s = RENEWAL_INTERVAL_S
         while True:
-            await anyio.sleep(RENEWAL_INTERVAL_S)
+            await anyio.sleep(delay_s)
+            delay_s = RENEWAL_INTERVAL_S
             if not self.may_renew:
                 continue
             sent_s = time.monotonic()
             try:
                 reply = await self._client.renew_leases(
                     token=self._fence.token,
-                    acked_sequence=acked_sequence,
-                    lease_deadline_ms=self._lease.grant(),
+                    # After a failed call, another incarnation may answer.
+                    acked_sequence=acked_sequence if is_answering else 0,
+                    # A silent worker's leases must expire.
+                    lease_deadline_ms=(
+                        self._lease.grant() if is_answering else None
+                    ),
                     wait_s=0.0,
                 )
             except FencedError:
@@ -100,9 +109,13 @@
                 )
                 return
             except LagoonbeamError:
-                # A silent worker's leases must expire; the next poll tells.
-                return
+                is_answering = False
+                delay_s = RENEWAL_RETRY_S
+                continue
             if reply.incarnation not in (0, self._fence.incarnation):
                 # Its orders need a new token, which the next poll gives it.
                 return
             self._lease.record_clock(reply.clock_ms, sent_s)
+            if not is_answering:
+                is_answering = True
+                delay_s = 0.0
--- a/tests/site/test_silent_workers.py
+++ b/tests/site/test_silent_workers.py
@@ -206,8 +206,12 @@
 
 @pytest.mark.parametrize("step", [SHORT, LONG], ids=["short", "long"])
 @pytest.mark.parametrize("phase_s", [0.0, 0.4, 0.8])
+@pytest.mark.parametrize("lost_renewals", [0, 1])
 def test_store_outage_ends_no_sound_run(
-    monkeypatch: pytest.MonkeyPatch, step: Step, phase_s: float
+    monkeypatch: pytest.MonkeyPatch,
+    step: Step,
+    phase_s: float,
+    lost_renewals: int,
 ) -> None:
     """Also while the end of another run of the worker cannot be journaled."""
     other_run = ("b" * 16 + ".0.0.0", 1)
@@ -225,7 +229,10 @@
         site.stores["n0"].lost_calls = {"append", "read"}
         await anyio.sleep(0.2)
         worker.finish(other_run)
-        await anyio.sleep(8.8)
+        await anyio.sleep(0.5)
+        if lost_renewals:
+            site.add_fault(1, "hold", count=lost_renewals)
+        await anyio.sleep(8.3)
         site.stores["n0"].lost_calls = set()
         await anyio.sleep(20.0)
         assert worker.is_running(FIRST_RUN)
