Keep an error of one connection from ending the process

Cause: errors other than those expected of a socket or of the parser left the task of a connection and with it the server. Change: they are logged, and the connection is closed. The test ended the server with RuntimeError before.

--- a/lagoonbeam/core/http_server.py
+++ b/lagoonbeam/core/http_server.py
@@ -161,6 +161,9 @@
             return
         except httptools.HttpParserError as error:
             _LOGGER.info("closing connection: malformed request: %s", error)
+        except Exception:
+            # An error of one connection must not end the process.
+            _LOGGER.exception("closing connection")
         finally:
             self._readers.discard(reader)
             reader.close()
--- a/tests/test_request_budget.py
+++ b/tests/test_request_budget.py
@@ -10,6 +10,7 @@
 import pytest
 
 from lagoonbeam.core.http_client import HttpClient, Response
+from lagoonbeam.core.http_request_reader import RequestReader
 from lagoonbeam.core.http_server import HttpServer, Request, ServerLimits
 from lagoonbeam.core.request_budget import (
     ConnectionAccount,
@@ -315,6 +316,25 @@
     run_with_server(RequestBudget(settings), scenario, limits)
 
 
+def test_unexpected_error_of_a_connection_does_not_end_the_server(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def fail(reader: RequestReader) -> None:
+        raise RuntimeError("unexpected")
+
+    monkeypatch.setattr(RequestReader, "read", fail)
+
+    async def scenario(handler: CountingHandler, port: int) -> None:
+        async with await anyio.connect_tcp(HOST, port) as stream:
+            await stream.send(b"GET / HTTP/1.1\r\n\r\n")
+            assert await receive_all(stream) == b""
+        monkeypatch.undo()
+        response = await HttpClient(HOST, port).call("GET", "/", timeout_s=10)
+        assert response.status == 200
+
+    run_with_server(RequestBudget(), scenario)
+
+
 def test_body_that_is_announced_as_too_large_is_refused_unread() -> None:
     async def scenario(handler: CountingHandler, port: int) -> None:
         async with await anyio.connect_tcp(HOST, port) as stream:
