Bound the size of a response

Cause: a worker's, the store's or a peer's answer without end was held until the call's time-out, whatever its size. Change: a response over 8 MB, head and framing included, counts as lost and its connection is closed; the store's largest page is 1 MB and an append 2 MB. The five tests sent 12 MB and got an answer or another error before.

--- a/lagoonbeam/core/http_client.py
+++ b/lagoonbeam/core/http_client.py
@@ -28,6 +28,8 @@
 """Longest time for which a response that keeps arriving is received."""
 READ_CHUNK_BYTES = 65_536
 """Most bytes read from a stream at a time."""
+MAX_RESPONSE_BYTES = 8_388_608
+"""Largest response, with its head and framing."""
 MAX_IDLE_CONNECTIONS = 8
 """Idle connections kept open to one server."""
 
@@ -76,6 +78,10 @@
         tcp_socket.setsockopt(level, option, value)
 
 
+class _OversizedResponseError(Exception):
+    """A response is larger than `MAX_RESPONSE_BYTES`."""
+
+
 class _Connection:
     """A client connection that carries one request at a time."""
 
@@ -101,10 +107,14 @@
         self, data: bytes, on_data: Callable[[], None]
     ) -> Response:
         self._headers, self._body, self._is_complete = {}, bytearray(), False
+        received_bytes = 0
         await self._stream.send(data)
         while not self._is_complete:
             chunk = await self._stream.receive(READ_CHUNK_BYTES)
             on_data()
+            received_bytes += len(chunk)
+            if received_bytes > MAX_RESPONSE_BYTES:
+                raise _OversizedResponseError
             self._parser.feed_data(chunk)
         return Response(
             self._parser.get_status_code(), bytes(self._body), self._headers
@@ -186,6 +196,7 @@
             anyio.BrokenResourceError,
             anyio.ClosedResourceError,
             anyio.EndOfStream,
+            _OversizedResponseError,
             httptools.HttpParserError,
             httptools.HttpParserUpgrade,
             OSError,
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -282,6 +282,46 @@
     anyio.run(main)
 
 
+@pytest.mark.parametrize(
+    ("head", "body"),
+    [
+        (b"HTTP/1.1 200 OK\r\nContent-Length: 12000000\r\n\r\n", b"x"),
+        (
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+            b"1\r\nx\r\n",
+        ),
+        (b"HTTP/1.1 200 OK\r\n", b"A: b\r\n"),
+        (b"HTTP/1.1 200 OK\r\nA: ", b"x"),
+        (b"HTTP/1.1 200 OK\r\n\r\n", b"x"),
+    ],
+)
+def test_response_over_the_largest_size_is_given_up(
+    head: bytes, body: bytes
+) -> None:
+    """A server's answer without end took the memory of the process."""
+
+    async def serve(stream: anyio.abc.SocketStream) -> None:
+        async with stream:
+            await stream.receive()
+            with contextlib.suppress(anyio.BrokenResourceError):
+                await stream.send(head)
+                for _ in range(120):
+                    await stream.send(body * (100_000 // len(body)))
+                await stream.send(b"0" if b"chunked" in head else b"")
+                await stream.send(b"\r\n\r\n")
+
+    async def main() -> None:
+        listener = await anyio.create_tcp_listener(local_host=HOST)
+        port = listener.extra(anyio.abc.SocketAttribute.local_port)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(listener.serve, serve)
+            with pytest.raises(ResponseLostError, match="Oversized"):
+                await HttpClient(HOST, port).call("GET", "/", timeout_s=60)
+            tasks.cancel_scope.cancel()
+
+    anyio.run(main)
+
+
 def test_drain_finishes_open_requests_and_closes_idle_connections() -> None:
     async def test(server: HttpServer, port: int) -> None:
         client = HttpClient(HOST, port)
