--- a/lagoonbeam/site/worker_speed/speed_monitor.py
+++ b/lagoonbeam/site/worker_speed/speed_monitor.py
@@ -14,6 +14,7 @@
 from lagoonbeam.site.records import Record, SpeedsEstimated
 from lagoonbeam.site.session import WorkerSession
 from lagoonbeam.site.state import SiteState
+from lagoonbeam.site.worker_speed.worker_speeds import USUAL_SPEED
 from lagoonbeam.types import WorkerName
 
 RECORD_INTERVAL_S = 5.0
@@ -69,7 +70,10 @@
         next term which workers the others are compared with.
         """
         recorded = self._get_state().speed_estimates
-        known = self._speeds.get_known_speeds()
+        known = {
+            **dict.fromkeys(recorded.speeds, USUAL_SPEED),
+            **self._speeds.get_known_speeds(),
+        }
         speeds = {
             worker: speed
             for worker, speed in known.items()
--- a/tests/site/test_speed_monitor.py
+++ b/tests/site/test_speed_monitor.py
@@ -104,6 +104,13 @@
     assert term.monitor.make_record() is None
 
 
+def test_speed_that_has_faded_is_journaled_as_usual() -> None:
+    state = SiteState()
+    term = MonitoredTerm(state)
+    state.apply(SpeedsEstimated(SPEEDS))
+    assert term.monitor.make_record() == SpeedsEstimated({"w0": 1.0, "w2": 1.0})
+
+
 def test_state_ignores_speeds_that_cannot_be_right() -> None:
     state = SiteState()
     state.apply(
