Leave fast workers in whole racks free for urgent work

Change: with uneven speeds, low-priority work leaves free the workers of the last racks that are at least as fast as the median.

--- a/lagoonbeam/site/priority_limits.py
+++ b/lagoonbeam/site/priority_limits.py
@@ -4,7 +4,7 @@
 
 from collections import defaultdict
 from collections.abc import Mapping, Set
-from itertools import chain, islice
+from statistics import median_low
 
 from lagoonbeam.site.jobs import PlacementUnit
 from lagoonbeam.site.model import QueuePolicy
@@ -15,11 +15,6 @@
 from lagoonbeam.site.worker_speed.worker_speeds import WorkerSpeeds
 from lagoonbeam.site.worker_usage import WorkerUsage
 
-RESERVABLE_FRACTION = 0.5
-"""Fraction of the workers of one speed that is left free for urgent work in
-preference to slower workers; the rest stays for low-priority work that is short
-of time."""
-
 
 class PriorityLimits:
     """Tracks and enforces the limits of low-priority work in one plan.
@@ -132,37 +127,39 @@
         worker_limit = self._reserve_policy.count_allowed_workers(
             policy.priority, len(capacities), urgent_workers
         )
-        fast_workers = self._select_fast_workers(
-            capacities, len(capacities) - worker_limit
-        )
         names_by_preference = sorted(
             capacities,
             key=lambda name: (
-                name in fast_workers,
                 not self.evictable_units.get(name)
                 and name not in self._held_workers,
                 capacities[name].report.rack,
                 name,
             ),
         )
+        if self._worker_speeds.is_uneven:
+            names_by_preference = self._move_fast_workers_back(
+                names_by_preference, len(capacities) - worker_limit
+            )
         return {
             name: capacities[name]
             for name in names_by_preference[:worker_limit]
         }
 
-    def _select_fast_workers(
-        self, capacities: CapacityMap, count: int
-    ) -> set[str]:
-        """Returns up to `count` fast workers to leave free for urgent work."""
-        if not self._worker_speeds.is_uneven:
-            return set()
-        names_by_speed: dict[float, list[str]] = defaultdict(list)
-        for name in sorted(capacities.keys() - self._held_workers):
-            names_by_speed[self._worker_speeds.get_speed(name)].append(name)
-        reservable = chain.from_iterable(
-            sorted(
-                names, key=lambda name: bool(self.evictable_units.get(name))
-            )[: int(RESERVABLE_FRACTION * len(names))]
-            for _, names in sorted(names_by_speed.items(), reverse=True)
-        )
-        return set(islice(reservable, max(0, count)))
+    def _move_fast_workers_back(
+        self, names_by_preference: list[str], count: int
+    ) -> list[str]:
+        """Returns the names with up to `count` of the fast workers last.
+
+        The last of them are chosen, so that they are in few racks: urgent gangs
+        that need one rack find enough of them there.
+        """
+        speeds = {
+            name: self._worker_speeds.get_speed(name)
+            for name in names_by_preference
+        }
+        usual_speed = median_low(speeds.values()) if speeds else 0.0
+        fast_workers = [
+            name for name in names_by_preference if speeds[name] >= usual_speed
+        ]
+        reserved = set(fast_workers[max(0, len(fast_workers) - count) :])
+        return sorted(names_by_preference, key=reserved.__contains__)
