Keep the cost of placement by speed within a plan

Change: workers are grouped once for each capacity map of a plan, tasks are counted only as far as needed, and units without locality needs are placed once.

--- a/lagoonbeam/site/speed_aware_placement/placer.py
+++ b/lagoonbeam/site/speed_aware_placement/placer.py
@@ -17,6 +17,7 @@
 from lagoonbeam.site.speed_aware_placement.speed_groups import (
     SlowestWorkerFirst,
     SpeedGroups,
+    group_by_speed,
 )
 from lagoonbeam.site.worker_capacity import CapacityMap
 
@@ -64,6 +65,9 @@
             if self._is_uneven
             else {}
         )
+        self._groups: dict[
+            tuple[int, str], tuple[CapacityMap, dict[float, CapacityMap]]
+        ] = {}
         self._speeds = frozenset(self._speed_by_worker.values())
 
     def place(
@@ -84,24 +88,26 @@
             A worker for each task, and the workers that an equal unit may be
             placed on next; None for both if the tasks do not all fit.
         """
-        any_speed = place_unit(
-            unit,
-            capacities,
-            allow_nonlocal=allow_nonlocal,
-            packing=self._packing,
-        )
-        if any_speed is None:
-            return None, None
         if not self._is_uneven or unit.spec.is_long_running:
-            return any_speed, capacities
-        is_urgent = self._get_policy(unit.job).priority == 0
-        groups = SpeedGroups(unit, capacities, self._get_speed)
-        if len(groups.speeds) == 1:
-            return any_speed, capacities
-        violations = _count_locality_violations(unit, any_speed, capacities)
+            assignment = self._place_at_any_speed(
+                unit, capacities, allow_nonlocal
+            )
+            return assignment, capacities if assignment else None
+        violations = 0
+        if unit.spec.data_rack or unit.spec.is_one_rack:
+            assignment = self._place_at_any_speed(
+                unit, capacities, allow_nonlocal
+            )
+            if assignment is None:
+                return None, None
+            violations = _count_locality_violations(
+                unit, assignment, capacities
+            )
         needed_speed = self._compute_needed_speed(unit)
         if violations:
             needed_speed *= NONLOCAL_SLOWDOWN
+        is_urgent = self._get_policy(unit.job).priority == 0
+        groups = SpeedGroups(unit, self._group_by_speed(unit, capacities))
         for subset, packing in self._list_candidates(
             groups, needed_speed, is_urgent=is_urgent
         ):
@@ -115,7 +121,8 @@
                 <= violations
             ):
                 return assignment, subset
-        return any_speed, capacities
+        assignment = self._place_at_any_speed(unit, capacities, allow_nonlocal)
+        return assignment, capacities if assignment else None
 
     def get_needed_level(self, unit: PlacementUnit) -> int:
         """Returns how many of the speeds are too slow for a unit."""
@@ -147,6 +154,29 @@
     def _get_speed(self, worker: str) -> float:
         return self._speed_by_worker[worker]
 
+    def _place_at_any_speed(
+        self, unit: PlacementUnit, capacities: CapacityMap, allow_nonlocal: bool
+    ) -> Assignment | None:
+        return place_unit(
+            unit,
+            capacities,
+            allow_nonlocal=allow_nonlocal,
+            packing=self._packing,
+        )
+
+    def _group_by_speed(
+        self, unit: PlacementUnit, capacities: CapacityMap
+    ) -> dict[float, CapacityMap]:
+        key = (id(capacities), unit.spec.required_label)
+        cached = self._groups.get(key)
+        if cached is None:
+            # Keeps `capacities`, so that its id is not used again.
+            cached = self._groups[key] = (
+                capacities,
+                group_by_speed(capacities, unit.spec, self._get_speed),
+            )
+        return cached[1]
+
     def _compute_needed_speed(self, unit: PlacementUnit) -> float:
         return compute_needed_speed(
             unit, self._get_policy(unit.job), self._estimator, self._now_s
--- a/lagoonbeam/site/speed_aware_placement/speed_groups.py
+++ b/lagoonbeam/site/speed_aware_placement/speed_groups.py
@@ -4,10 +4,10 @@
 
 from collections import defaultdict
 from collections.abc import Callable, Iterable
-from functools import cached_property
 from itertools import chain
 
 from lagoonbeam.site.jobs import PlacementUnit
+from lagoonbeam.site.model import Step
 from lagoonbeam.site.packing import PackingPolicy
 from lagoonbeam.site.worker_capacity import (
     CapacityMap,
@@ -20,60 +20,65 @@
 without needing its speed; the rest is left for work that does."""
 
 
+def group_by_speed(
+    capacities: CapacityMap,
+    step: Step,
+    get_speed: Callable[[str], float],
+) -> dict[float, CapacityMap]:
+    """Returns the workers that have a step's label by speed, slowest first."""
+    groups: dict[float, CapacityMap] = defaultdict(dict)
+    for name, capacity in capacities.items():
+        if has_required_label(capacity.report, step):
+            groups[get_speed(name)][name] = capacity
+    return dict(sorted(groups.items()))
+
+
 class SpeedGroups:
-    """Groups the workers that a unit may use by their speed.
+    """The workers that a unit may use, by their speed.
 
     Args:
         unit: The unit to place.
-        capacities: Free capacity of the workers that it may use.
-        get_speed: Returns a worker's speed.
+        groups: Free capacity of the workers, by speed, slowest first.
     """
 
-    def __init__(
-        self,
-        unit: PlacementUnit,
-        capacities: CapacityMap,
-        get_speed: Callable[[str], float],
-    ):
+    def __init__(self, unit: PlacementUnit, groups: dict[float, CapacityMap]):
+        self.speeds = list(groups)
         self._unit = unit
-        self._groups: dict[float, CapacityMap] = defaultdict(dict)
-        for name, capacity in capacities.items():
-            if has_required_label(capacity.report, unit.spec):
-                self._groups[get_speed(name)][name] = capacity
-
-    @cached_property
-    def speeds(self) -> list[float]:
-        """The speeds of the workers, slowest first."""
-        return sorted(self._groups)
-
-    @cached_property
-    def _fitting_tasks(self) -> dict[float, int]:
-        """Number of tasks of the unit that fit on each group."""
-        limit = len(self._unit.tasks)
-        return {
-            speed: sum(
-                capacity.count_fitting(self._unit, limit)
-                for capacity in group.values()
-            )
-            for speed, group in self._groups.items()
-        }
+        self._groups = groups
+        self._fitting_tasks: dict[float, int] = {}
 
     def get_group(self, speed: float) -> CapacityMap | None:
         """Returns the workers of a speed; None if the unit does not fit."""
-        if self._fitting_tasks[speed] < len(self._unit.tasks):
+        if self._count_fitting_tasks(speed) < len(self._unit.tasks):
             return None
         return self._groups[speed]
 
     def get_from_speed(self, min_speed: float) -> CapacityMap | None:
         """Returns the workers of at least a speed; None if it does not fit."""
         speeds = [speed for speed in self.speeds if speed >= min_speed]
-        fitting = sum(self._fitting_tasks[speed] for speed in speeds)
+        fitting = sum(map(self._count_fitting_tasks, speeds))
         if fitting < len(self._unit.tasks):
             return None
         return dict(
             chain.from_iterable(self._groups[speed].items() for speed in speeds)
         )
 
+    def _count_fitting_tasks(self, speed: float) -> int:
+        """Returns how many tasks fit on the workers of a speed.
+
+        Counting stops as soon as the whole unit fits.
+        """
+        fitting = self._fitting_tasks.get(speed)
+        if fitting is None:
+            limit = len(self._unit.tasks)
+            fitting = 0
+            for capacity in self._groups[speed].values():
+                fitting += capacity.count_fitting(self._unit, limit)
+                if fitting >= limit:
+                    break
+            self._fitting_tasks[speed] = fitting
+        return fitting
+
     def is_plentiful(self, speed: float) -> bool:
         """Whether most of a group's capacity is free."""
         capacities = self._groups[speed].values()
