--- a/lagoonbeam/site/caller_cost/eviction_weighing.py
+++ b/lagoonbeam/site/caller_cost/eviction_weighing.py
@@ -104,10 +104,7 @@
         run_s = self._planner_state.estimator.estimate_run_s(unit)
         window = self._losses.get_window(unit)
         value_if_evicting = window.get_value(self._now_s + STOP_S + run_s)
-        if not self._may_be_held(unit):
-            return UrgentOutlook(value_if_evicting)
-
-        if value_if_evicting is JobValue.NONE:
+        if value_if_evicting is JobValue.NONE and self._may_be_held(unit):
             return UrgentOutlook(value_if_evicting, HoldCause.NO_VALUE_LEFT)
         return UrgentOutlook(value_if_evicting)
 
