--- a/tests/test_uncontrolled_clients.py
+++ b/tests/test_uncontrolled_clients.py
@@ -9,9 +9,7 @@
 import contextlib
 import itertools
 import json
-import os
 import secrets
-import socket
 from collections.abc import Callable, Iterator
 from pathlib import Path
 from typing import Any
@@ -19,6 +17,13 @@
 import httpx
 import pytest
 
+from harness.crowd import (
+    CLIENT_TIMEOUT_S,
+    Crowd,
+    is_open,
+    make_chunks,
+    split,
+)
 from harness.site import (
     API_KEY,
     PATH_PREFIXES,
@@ -37,7 +42,6 @@
 BODY_BYTES = 262_144
 """Limit on bodies of the configuration's default."""
 CROWD_SIZE = 300
-CLIENT_TIMEOUT_S = 30.0
 SILENCE_LIMITS = {"header_timeout_ms": 120_000, "idle_timeout_ms": 120_000}
 """Limits on silence, out of the tests' reach at any speed of the machine."""
 MESSAGE_BYTES = 24 << 20
@@ -52,60 +56,6 @@
         return {**super()._make_settings(name), "limits": limits}
 
 
-class Crowd:
-    """Connections to an instance that its clients keep open.
-
-    Args:
-        site: The site of the instance.
-        port: Port that the clients connect to.
-    """
-
-    def __init__(self, site: Site, port: int):
-        self._site = site
-        self.port = port
-        self.sockets: list[socket.socket] = []
-        self.peak_socket_count = 0
-
-    def connect(self, count: int) -> None:
-        """Opens connections; those that are refused are left out."""
-        address = (self._site.get_host("n0"), self.port)
-        for _ in range(count):
-            with contextlib.suppress(OSError):
-                self.sockets.append(
-                    socket.create_connection(address, CLIENT_TIMEOUT_S)
-                )
-        self.measure()
-
-    def send_all(self, data: bytes) -> None:
-        """Sends the same data on each connection that is still open."""
-        for connection in self.sockets:
-            with contextlib.suppress(OSError):
-                connection.sendall(data)
-        with contextlib.suppress(httpx.HTTPError):
-            call_front(self._site)
-        self.measure()
-
-    def send_pieces(self, pieces: list[bytes]) -> None:
-        """Sends a piece on each connection, then the next piece on each."""
-        for piece in pieces:
-            self.send_all(piece)
-
-    def measure(self) -> None:
-        """Records how many sockets the instance has open."""
-        folder = Path(f"/proc/{self._site.processes['n0'].pid}/fd")
-        targets = []
-        for descriptor in folder.iterdir():
-            with contextlib.suppress(OSError):
-                targets.append(os.readlink(descriptor))
-        count = sum(target.startswith("socket:") for target in targets)
-        self.peak_socket_count = max(self.peak_socket_count, count)
-
-    def close(self) -> None:
-        """Closes all connections."""
-        for connection in self.sockets:
-            connection.close()
-
-
 @pytest.fixture(scope="module")
 def site(tmp_path_factory: pytest.TempPathFactory) -> Iterator[Site]:
     folder: Path = tmp_path_factory.mktemp("site")
@@ -124,7 +74,11 @@
     site.start_instance("n0")
     site.wait_until_ready("n0")
     site.wait_for_state(site.submit_job([make_step()]))
-    crowd = Crowd(site, site.front_port)
+    crowd = Crowd(
+        (site.get_host("n0"), site.front_port),
+        site.processes["n0"].pid,
+        lambda: try_call(site),
+    )
     yield crowd
     crowd.close()
 
@@ -139,6 +93,11 @@
     )
 
 
+def try_call(site: Site) -> None:
+    with contextlib.suppress(httpx.HTTPError):
+        call_front(site)
+
+
 def make_head(*fields: str) -> bytes:
     path = PATH_PREFIXES[1] + secrets.token_hex(8)
     lines = [f"POST {path} HTTP/1.1", f"Host: {ROUTE_HOST}"]
@@ -152,22 +111,6 @@
     return json.dumps(job).encode().ljust(size_bytes)
 
 
-def make_chunks(body: bytes, chunk_bytes: int) -> bytes:
-    return b"".join(
-        b"%x\r\n%b\r\n" % (len(chunk), chunk)
-        for start in range(0, len(body), chunk_bytes)
-        for chunk in [body[start : start + chunk_bytes]]
-    )
-
-
-def split(data: bytes, piece_count: int) -> list[bytes]:
-    size_bytes = -(-len(data) // piece_count)
-    return [
-        data[start : start + size_bytes]
-        for start in range(0, len(data), size_bytes)
-    ]
-
-
 def check_instance(site: Site, crowd: Crowd) -> None:
     """Checks the process's bounds and that an ordinary caller is served."""
     served = call_front(site)
@@ -178,7 +121,7 @@
     )
     crowd.measure()
     assert site.is_running("n0")
-    peak_memory_mb = read_peak_memory_mb(site)
+    peak_memory_mb = crowd.read_peak_memory_mb()
     print(f"{peak_memory_mb:.0f} MB, {crowd.peak_socket_count} sockets")
     assert served.status_code == 200
     assert readiness.status_code == 200
@@ -187,12 +130,6 @@
     site.wait_for_state(site.submit_job([make_step()]))
 
 
-def read_peak_memory_mb(site: Site) -> float:
-    status = Path(f"/proc/{site.processes['n0'].pid}/status").read_text()
-    line = next(row for row in status.splitlines() if row.startswith("VmHWM:"))
-    return int(line.split()[1]) / 1024
-
-
 def make_endless_line() -> tuple[bytes, bytes]:
     return make_head()[:-2] + b"X-Long: ", b"x" * 65_536
 
@@ -253,19 +190,6 @@
     assert not any(map(is_open, crowd.sockets))
 
 
-def is_open(connection: socket.socket) -> bool:
-    """Returns whether the instance has not closed a connection yet."""
-    connection.settimeout(10.0)
-    try:
-        while connection.recv(65_536):
-            pass
-    except TimeoutError:
-        return True
-    except ConnectionError:
-        pass
-    return False
-
-
 def make_unfinished_body() -> bytes:
     head = make_head(f"Content-Length: {BODY_BYTES}")
     return head + make_body(BODY_BYTES)[:-10]
@@ -316,7 +240,7 @@
 def test_silent_connections_leave_room_for_callers(
     site: Site, crowd: Crowd, port_name: str
 ) -> None:
-    crowd.port = getattr(site, port_name)
+    crowd.address = (site.get_host("n0"), getattr(site, port_name))
     crowd.connect(CROWD_SIZE)
     check_instance(site, crowd)
 
@@ -325,7 +249,7 @@
     site: Site, crowd: Crowd
 ) -> None:
     """Peers may send larger bodies than callers."""
-    crowd.port = site.peer_port
+    crowd.address = (site.get_host("n0"), site.peer_port)
     crowd.connect(30)
     head = b"POST /relay HTTP/1.1\r\nContent-Length: 4000000\r\n\r\n"
     crowd.send_pieces([head + b"x" * 1_000_000, *[b"x" * 999_990] * 3])
