--- a/lagoonbeam/core/request_budget/budget.py
+++ b/lagoonbeam/core/request_budget/budget.py
@@ -5,6 +5,7 @@
 import enum
 from collections import OrderedDict
 from collections.abc import Callable
+from itertools import chain
 
 from lagoonbeam.core.request_budget.limit_monitor import Limit, LimitMonitor
 from lagoonbeam.core.request_budget.settings import RequestLimitSettings
@@ -98,6 +99,9 @@
             return False
         part = self._part
         added_bytes = CONNECTION_BYTES + request_bytes - self._held_bytes
+        if not self._can_make_room(added_bytes):
+            self._monitor.record(Limit.MEMORY)
+            return False
         while added_bytes > 0 and (
             part.held_bytes + added_bytes > part.max_bytes
             and part.connection_count > 1
@@ -109,6 +113,19 @@
         self._held_bytes += added_bytes
         return True
 
+    def _can_make_room(self, added_bytes: int) -> bool:
+        """Whether enough can be closed; otherwise none is closed in vain."""
+        part = self._part
+        missing_bytes = part.held_bytes + added_bytes - part.max_bytes
+        if added_bytes <= 0 or missing_bytes <= 0 or part.connection_count <= 1:
+            return True
+        others = [
+            each for each in chain(part.waiting, part.idle) if each is not self
+        ]
+        if len(others) == part.connection_count - 1:
+            return True
+        return missing_bytes <= sum(each._held_bytes for each in others)
+
     def evict(self) -> None:
         """Ends the connection to make room for another one."""
         on_evict = self.on_evict
--- a/lagoonbeam/site/worker_speed/speed_levels.py
+++ b/lagoonbeam/site/worker_speed/speed_levels.py
@@ -21,6 +21,12 @@
 """Logarithm of the ratio of variances from which workers may differ."""
 SPREAD_DEVIATIONS = 4.5
 """Standard errors of that logarithm that are added to the limit."""
+MIN_UNEVEN_VARIANCE = 0.04
+"""Variance of log speeds from which workers may differ. Start and poll times
+are uncertain in the same way for all runs on a worker, so that equal workers
+seem to differ by less than that."""
+MIN_STILL_UNEVEN_VARIANCE = 0.02
+"""Variance below which workers count as equal again."""
 EQUAL_SCORE = 2.0
 """Mean squared score below which workers count as equal again."""
 MAX_SQUARED_SCORE = 50.0
@@ -51,10 +57,14 @@
     """
     if len(fit.effects) < MIN_WORKERS:
         return was_significant
-    if was_significant and _measure_mean_score(fit) > EQUAL_SCORE:
+    variance = _measure_effect_variance(fit)
+    if was_significant:
         # The workers in use may be those that are equally fast.
-        return True
-    return any(
+        return (
+            variance > MIN_STILL_UNEVEN_VARIANCE
+            and _measure_mean_score(fit) > EQUAL_SCORE
+        )
+    return variance > MIN_UNEVEN_VARIANCE and any(
         ratio.log_ratio
         > SPREAD_LIMIT + SPREAD_DEVIATIONS * ratio.standard_error
         for ratio in (fit.spread.between_cells, fit.spread.between_workers)
--- a/lagoonbeam/site/worker_speed/worker_speeds.py
+++ b/lagoonbeam/site/worker_speed/worker_speeds.py
@@ -11,6 +11,7 @@
 from lagoonbeam.site.worker_speed.speed_blocks import GroupKey, Observation
 from lagoonbeam.site.worker_speed.speed_levels import (
     LEVEL_RATIO,
+    MAX_LEVEL,
     find_levels,
     get_level_speed,
     is_spread_significant,
@@ -92,8 +93,10 @@
             speeds: Speed of each worker that was known.
             now_s: Monotonic time.
         """
+        max_log_speed = MAX_LEVEL * math.log(LEVEL_RATIO)
         self._log_speeds = {
-            worker: math.log(speed) for worker, speed in speeds.items()
+            worker: max(-max_log_speed, min(max_log_speed, math.log(speed)))
+            for worker, speed in speeds.items()
         }
         self._observations = {
             worker: [_make_estimate(worker, log_speed, now_s)]
@@ -136,11 +139,10 @@
             observations.append(observation)
             del observations[:-MAX_STEPS_PER_WORKER]
         run_key = (task.task_id, task.run)
-        if (
-            run_key in observation.log_paces
-            or len(observation.log_paces) < MAX_RUNS_PER_STEP
-        ):
-            observation.log_paces[run_key] = -math.log(full_run_s)
+        log_paces = observation.log_paces
+        if run_key not in log_paces and len(log_paces) >= MAX_RUNS_PER_STEP:
+            del log_paces[next(iter(log_paces))]
+        log_paces[run_key] = -math.log(full_run_s)
         observation.updated_at_s = now_s
         self._is_changed = True
         while len(self._observations) > MAX_WORKERS:
@@ -161,7 +163,9 @@
         self._is_changed = False
         self._drop_old(now_s)
         self._reduce_resting(now_s)
-        fit = fit_effects(self._observations, self._log_speeds, now_s)
+        # Runs that are trimmed by an estimate that is still noise confirm it.
+        known = self._log_speeds if self._is_spread else {}
+        fit = fit_effects(self._observations, known, now_s)
         self._log_speeds = {
             worker: effect.log_speed for worker, effect in fit.effects.items()
         }
--- a/tests/test_request_budget.py
+++ b/tests/test_request_budget.py
@@ -358,3 +358,19 @@
         assert "/long" not in [r.target for r in handler.handed_on]
 
     run_with_server(RequestBudget(), scenario, ServerLimits(header_bytes=100))
+
+
+def test_request_that_cannot_fit_closes_no_idle_connection() -> None:
+    """Load: large bodies in handling, which cannot be ended."""
+
+    async def test() -> None:
+        record = EvictionRecord(make_budget(300))
+        record.open_receiving("served", 250 * KB).mark_served()
+        for name in ("first", "second"):
+            record.open(name)
+        late = record.open("late")
+        late.mark_progress()
+        assert not late.hold(100 * KB)
+        assert record.evicted == []
+
+    run(test)
