Bound answered starts of a new life, and fit speeds sooner

Cause, by the review: the bound of a start that a new life answers counted from its sending, though the new clock counts from its arrival, and a lost poll beside slow answers ended sound short runs. The longer grace for header timeouts is taken back: a test sets it apart. Change: the bound counts from the answer; leases are the longest once renewals take 1.25 s; fits are 0.5 s and 2.5 ms a worker apart.

--- a/lagoonbeam/core/http_request_reader.py
+++ b/lagoonbeam/core/http_request_reader.py
@@ -277,6 +277,5 @@
 
     def _get_last_deadline_s(self) -> float:
         return self._meter.get_deadline_s(
-            max(self._settings.request_grace_s, self._limits.header_timeout_s),
-            self._settings.min_rate_bytes_per_s,
+            self._settings.request_grace_s, self._settings.min_rate_bytes_per_s
         )
--- a/lagoonbeam/site/lease.py
+++ b/lagoonbeam/site/lease.py
@@ -14,7 +14,7 @@
 """Lowest rate of a worker's clock that the platform allows."""
 CLOCK_RESOLUTION_MS = 2
 """Largest difference that rounding makes between two readings of a clock."""
-SLOW_RENEWAL_S = 2.0
+SLOW_RENEWAL_S = 1.25
 """Time between two readings of a worker's clock, one for each renewal, above
 which its leases are the longest."""
 UNFENCED_READINGS = 2
@@ -166,7 +166,13 @@
         """
         if self.is_of_another_life(worker_clock_ms, sent_s):
             self._unfenced_readings = UNFENCED_READINGS
-            self._earlier_leases_expire_at_s = self.longest_expires_at_s
+            # The new clock counts from the arrival of the order.
+            self._earlier_leases_expire_at_s = max(
+                self.longest_expires_at_s,
+                time.monotonic()
+                + self._lease_s / MIN_WORKER_CLOCK_RATE
+                + self._stop_timeout_s,
+            )
 
     def grant(self) -> int:
         """Extends the lease; returns its deadline on the worker's clock."""
--- a/lagoonbeam/site/worker_speed/worker_speeds.py
+++ b/lagoonbeam/site/worker_speed/worker_speeds.py
@@ -23,7 +23,7 @@
 """Speed of a worker of which nothing else is known."""
 FIT_INTERVAL_S = 0.5
 """Shortest interval between two fits."""
-FIT_INTERVAL_PER_WORKER_S = 0.005
+FIT_INTERVAL_PER_WORKER_S = 0.0025
 """Time by which each worker prolongs the interval, as a fit takes longer."""
 MAX_WORKERS = 2_000
 """Workers that are kept; those not observed for longest are dropped."""
