--- a/lagoonbeam/site/planner.py
+++ b/lagoonbeam/site/planner.py
@@ -373,14 +373,10 @@
     def _evict_for(
         self, unit: PlacementUnit, capacities: CapacityMap, allow_nonlocal: bool
     ) -> None:
-        evictable_units = {
-            worker: list(units.values())
-            for worker, units in self._limits.evictable_units.items()
-        }
         eviction = decide_eviction(
             unit,
             capacities,
-            evictable_units,
+            self._limits.list_evictable_units(),
             self._weighing,
             self._planner_state,
             make_lost_work_function(self._sessions),
--- a/lagoonbeam/site/priority_limits.py
+++ b/lagoonbeam/site/priority_limits.py
@@ -107,6 +107,13 @@
             self._allowed_capacities[key] = self._select_capacities(policy)
         return self._allowed_capacities[key]
 
+    def list_evictable_units(self) -> dict[str, list[PlacementUnit]]:
+        """Returns the units that may be evicted, by worker."""
+        return {
+            worker: list(units.values())
+            for worker, units in self.evictable_units.items()
+        }
+
     def remove_evictable_unit(self, unit: PlacementUnit) -> None:
         """Removes a unit that is being evicted from the evictable ones."""
         for task in unit.tasks:
