Report a lost response when data arrives at the time-out

Cause: data that arrived as a call timed out moved the deadline of the cancelled scope, after which fail_after does not raise: the call went on without a response (UnboundLocalError). Result: the new test failed before (UnboundLocalError) and passes.

--- a/lagoonbeam/core/http_client.py
+++ b/lagoonbeam/core/http_client.py
@@ -186,6 +186,10 @@
                         )
 
                 response = await connection.send_request(data, handle_data)
+            if scope.cancelled_caught:
+                # Data that arrives at the deadline moves it, after which
+                # `fail_after` does not raise.
+                raise TimeoutError
         except TimeoutError as error:
             await connection.close()
             await self.close()
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -2,6 +2,7 @@
 
 import contextlib
 from collections.abc import Awaitable, Callable
+from typing import Any
 
 import anyio
 import anyio.abc
@@ -336,3 +337,32 @@
         assert server.open_requests == 0
 
     run_with_server(test)
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize("anyio_backend", ["asyncio"])
+async def test_data_that_arrives_at_the_time_out_breaks_no_call(
+    anyio_backend: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The scope's deadline moved after its cancellation."""
+
+    class LateConnection:
+        async def send_request(self, data: bytes, on_data: Any) -> None:
+            try:
+                await anyio.sleep(10.0)
+            finally:
+                on_data()
+
+        async def close(self) -> None:
+            pass
+
+    client = HttpClient("127.0.0.1", 1)
+
+    async def connect(timeout_s: float) -> LateConnection:
+        return LateConnection()
+
+    monkeypatch.setattr(client, "_connect", connect)
+    with pytest.raises(ResponseLostError):
+        await client.call(
+            "GET", "/", timeout_s=0.05, progress=ResponseProgress()
+        )
