--- a/harness/crowd.py
+++ b/harness/crowd.py
@@ -5,10 +5,13 @@
 import contextlib
 import os
 import socket
+import struct
 from collections.abc import Callable, Sequence
 from pathlib import Path
 
 CLIENT_TIMEOUT_S = 30.0
+TCP_LISTEN = 10
+"""Number of the state of a listening socket in the kernel's table."""
 
 
 class Crowd:
@@ -19,6 +22,13 @@
         process_id: The process.
         send_ordinary_request: Sends a request of an ordinary caller, which
             waits until the process has taken what the crowd has sent.
+
+    Attributes:
+        ports: The process's ports on which queued bytes are counted.
+        sockets: Connections of the crowd.
+        peak_socket_count: Most sockets that the process had open.
+        peak_machine_bytes: Most memory that the process had resident, with the
+            bytes queued on its ports, received or sent.
     """
 
     def __init__(
@@ -28,8 +38,10 @@
         send_ordinary_request: Callable[[], object],
     ):
         self.address = address
+        self.ports = {address[1]}
         self.sockets: list[socket.socket] = []
         self.peak_socket_count = 0
+        self.peak_machine_bytes = 0
         self._process_folder = Path(f"/proc/{process_id}")
         self._send_ordinary_request = send_ordinary_request
 
@@ -56,7 +68,10 @@
             self.send_all(piece)
 
     def measure(self) -> None:
-        """Records how many sockets the process has open."""
+        """Records how many sockets and how much memory the process takes."""
+        machine_bytes = self._read_status_kb("VmRSS") * 1024
+        machine_bytes += sum(map(count_queued_bytes, self.ports))
+        self.peak_machine_bytes = max(self.peak_machine_bytes, machine_bytes)
         targets = []
         for descriptor in (self._process_folder / "fd").iterdir():
             with contextlib.suppress(OSError):
@@ -66,17 +81,38 @@
 
     def read_peak_memory_mb(self) -> float:
         """Returns the peak of the process's resident memory."""
-        status = (self._process_folder / "status").read_text()
-        (line,) = (
-            row for row in status.splitlines() if row.startswith("VmHWM:")
-        )
-        return int(line.split()[1]) / 1024
+        return self._read_status_kb("VmHWM") / 1024
 
     def close(self) -> None:
         """Closes all connections."""
         for connection in self.sockets:
             connection.close()
 
+    def _read_status_kb(self, field: str) -> int:
+        status = (self._process_folder / "status").read_text()
+        (line,) = (
+            row for row in status.splitlines() if row.startswith(f"{field}:")
+        )
+        return int(line.split()[1])
+
+
+def count_queued_bytes(port: int) -> int:
+    """Returns the bytes that the kernel holds for the servers on a port.
+
+    These are bytes that were received and not read, and those that were sent
+    and not acknowledged, also of connections that no process has open yet or
+    any more. A listening socket queues connections rather than bytes.
+    """
+    rows = Path("/proc/net/tcp").read_text().splitlines()[1:]
+    queued_bytes = 0
+    for row in rows:
+        _, local, _, state, queues, *_ = row.split()
+        is_listening = int(state, 16) == TCP_LISTEN
+        if int(local.split(":")[1], 16) == port and not is_listening:
+            sent, received = queues.split(":")
+            queued_bytes += int(sent, 16) + int(received, 16)
+    return queued_bytes
+
 
 def make_chunks(body: bytes, chunk_bytes: int) -> bytes:
     """Returns a body in chunks, without the last one, which is empty."""
@@ -96,6 +132,22 @@
     ]
 
 
+def send_at_once(connection: socket.socket, data: bytes) -> None:
+    """Sends data as far as the connection takes it without a wait."""
+    connection.setblocking(False)
+    unsent = memoryview(data)
+    with contextlib.suppress(OSError):
+        while unsent:
+            unsent = unsent[connection.send(unsent) :]
+
+
+def reset(connection: socket.socket) -> None:
+    """Closes a connection by a reset."""
+    discard = struct.pack("ii", 1, 0)
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, discard)
+    connection.close()
+
+
 def is_open(connection: socket.socket) -> bool:
     """Returns whether the process has not closed a connection yet."""
     connection.settimeout(10.0)
--- a/tests/test_uncontrolled_clients_zones.py
+++ b/tests/test_uncontrolled_clients_zones.py
@@ -21,6 +21,8 @@
     Crowd,
     is_open,
     make_chunks,
+    reset,
+    send_at_once,
     split,
 )
 from tests.conftest import make_job_body, make_rules_document
@@ -165,6 +167,16 @@
     return head + make_body(BODY_BYTES)[:-10]
 
 
+def make_unfinished_large_chunks() -> bytes:
+    chunks = make_chunks(make_body(BODY_BYTES), 65_536)
+    return make_head("Transfer-Encoding: chunked") + chunks[:-10]
+
+
+def make_unfinished_small_chunks() -> bytes:
+    chunks = make_chunks(make_body(20_000), 1)
+    return make_head("Transfer-Encoding: chunked") + chunks[:-1]
+
+
 @pytest.mark.parametrize("crowd_size", [CROWD_SIZE, 200])
 def test_unfinished_bodies_leave_room_for_callers(
     cluster: Cluster,
@@ -184,6 +196,37 @@
     check_entry(cluster, crowd)
 
 
+@pytest.mark.parametrize(
+    "make_message", [make_unfinished_large_chunks, make_unfinished_small_chunks]
+)
+def test_unfinished_chunks_leave_room_for_callers(
+    cluster: Cluster, crowd: Crowd, make_message: Callable[[], bytes]
+) -> None:
+    crowd.connect(CROWD_SIZE)
+    crowd.send_pieces(split(make_message(), 2))
+    check_entry(cluster, crowd)
+
+
+def test_unread_answers_leave_room_for_callers(
+    cluster: Cluster, crowd: Crowd
+) -> None:
+    crowd.connect(CROWD_SIZE)
+    request = make_head().replace(b"POST", b"GET") * 500
+    for connection in crowd.sockets:
+        send_at_once(connection, request)
+    crowd.measure()
+    check_entry(cluster, crowd)
+
+
+def test_reset_connections_leave_room_for_callers(
+    cluster: Cluster, crowd: Crowd
+) -> None:
+    crowd.connect(CROWD_SIZE)
+    for connection in crowd.sockets:
+        reset(connection)
+    check_entry(cluster, crowd)
+
+
 @pytest.mark.parametrize("chunk_bytes", [0, 1, 65_536])
 def test_single_body_of_the_largest_size_is_accepted(
     cluster: Cluster, crowd: Crowd, chunk_bytes: int
