--- a/lagoonbeam/core/http_server.py
+++ b/lagoonbeam/core/http_server.py
@@ -23,7 +23,12 @@
     RequestBudget,
     Share,
 )
-from lagoonbeam.core.tcp_connection import TcpConnection, accept_connections
+from lagoonbeam.core.tcp_connection import (
+    LISTEN_BACKLOG,
+    SocketBuffers,
+    TcpConnection,
+    accept_connections,
+)
 
 __all__ = ["Handler", "HttpServer", "Request", "ServerLimits"]
 
@@ -71,6 +76,8 @@
         limits: Limits on requests.
         budget: Bounds what all clients of the process may hold.
         share: The part of the budget for this server's clients.
+        buffers: The kernel's buffers of each connection, which count toward
+            the budget; if None, the kernel chooses and they do not count.
     """
 
     def __init__(
@@ -80,11 +87,14 @@
         *,
         budget: RequestBudget | None = None,
         share: Share = Share.CALLERS,
+        buffers: SocketBuffers | None = None,
     ):
         self._handler = handler
         self._limits = limits or ServerLimits()
         self._budget = budget or RequestBudget()
         self._share = share
+        self._buffers = buffers
+        self._buffer_bytes = buffers.memory_bytes if buffers else 0
         self._readers: set[RequestReader] = set()
         self.draining = False
         self.open_requests = 0
@@ -99,7 +109,10 @@
     ) -> None:
         """Serves until cancelled; reports the bound port once it listens."""
         listener = await anyio.create_tcp_listener(
-            local_host=host, local_port=port, backlog=512, reuse_port=False
+            local_host=host,
+            local_port=port,
+            backlog=LISTEN_BACKLOG,
+            reuse_port=False,
         )
         async with listener, anyio.create_task_group() as tasks:
             task_status.started(
@@ -108,6 +121,8 @@
             listening_socket: socket.socket = listener.extra(
                 anyio.abc.SocketAttribute.raw_socket
             )
+            if self._buffers is not None:
+                self._buffers.apply(listening_socket)
 
             def start_connection(connection: TcpConnection) -> None:
                 tasks.start_soon(self._serve_connection, connection)
@@ -131,7 +146,9 @@
             scope.cancel()
 
     async def _serve_connection(self, connection: TcpConnection) -> None:
-        account = self._budget.open_connection(self._share)
+        account = self._budget.open_connection(
+            self._share, buffer_bytes=self._buffer_bytes
+        )
         if account is None:
             connection.close()
             return
--- a/lagoonbeam/core/request_budget/budget.py
+++ b/lagoonbeam/core/request_budget/budget.py
@@ -11,7 +11,7 @@
 from lagoonbeam.core.request_budget.settings import RequestLimitSettings
 
 CONNECTION_BYTES = 8_192
-"""Memory of an open connection beside its requests."""
+"""Memory of an open connection beside its requests and kernel buffers."""
 BYTES_PER_MB = 1 << 20
 RESERVED_DESCRIPTORS = 200
 """Descriptors of a machine that are no sockets."""
@@ -56,15 +56,19 @@
     Args:
         part: The part of the budget that it belongs to.
         monitor: Records the limits that are met.
+        connection_bytes: Memory of the connection beside its requests.
 
     Attributes:
         on_evict: Called to drop what the connection holds, and to end it.
         is_closed: Whether it holds nothing any more.
     """
 
-    def __init__(self, part: _Part, monitor: LimitMonitor):
+    def __init__(
+        self, part: _Part, monitor: LimitMonitor, connection_bytes: int
+    ):
         self._part = part
         self._monitor = monitor
+        self._connection_bytes = connection_bytes
         self.on_evict: Callable[[], None] = lambda: None
         self._held_bytes = 0
         self.is_closed = False
@@ -98,7 +102,7 @@
         if self.is_closed:
             return False
         part = self._part
-        added_bytes = CONNECTION_BYTES + request_bytes - self._held_bytes
+        added_bytes = self._connection_bytes + request_bytes - self._held_bytes
         if not self._can_make_room(added_bytes):
             self._monitor.record(Limit.MEMORY)
             return False
@@ -212,13 +216,16 @@
         """Number of open connections."""
         return sum(part.connection_count for part in self._parts.values())
 
-    def open_connection(self, share: Share) -> ConnectionAccount | None:
+    def open_connection(
+        self, share: Share, *, buffer_bytes: int = 0
+    ) -> ConnectionAccount | None:
         """Returns the account of a new connection, or None without room.
 
         The connections that have been idle for longest are closed first.
 
         Args:
             share: The kind of client.
+            buffer_bytes: Memory that the kernel may take for the connection.
         """
         part = self._parts[share]
         while part.connection_count >= part.max_connections:
@@ -227,7 +234,9 @@
             if not queue:
                 return None
             next(iter(queue)).evict()
-        account = ConnectionAccount(part, self.monitor)
+        account = ConnectionAccount(
+            part, self.monitor, CONNECTION_BYTES + buffer_bytes
+        )
         if account.hold(0):
             return account
         account.close()
