--- a/lagoonbeam/commands/entry.py
+++ b/lagoonbeam/commands/entry.py
@@ -3,23 +3,22 @@
 from __future__ import annotations
 
 from pathlib import Path
-from typing import Annotated, cast
+from typing import Annotated
 
 import anyio
 import typer
-from hypercorn.asyncio import serve
-from hypercorn.config import Config
-from hypercorn.typing import Framework
-from starlette.applications import Starlette
 
 from lagoonbeam.commands.program_lifecycle import (
     drain_on_signal,
     load_settings_or_exit,
 )
 from lagoonbeam.core.events import EventLog
+from lagoonbeam.core.http_server import HttpServer, ServerLimits
 from lagoonbeam.core.logging_setup import configure_logging
+from lagoonbeam.core.process_budget import make_request_budget
 from lagoonbeam.core.settings import EntrySettings
 from lagoonbeam.core.statsd_metrics import StatsdMetrics
+from lagoonbeam.core.tcp_connection import SocketBuffers
 from lagoonbeam.errors import SettingsError
 
 READINESS_PROPAGATION_S = 0.5
@@ -62,6 +61,8 @@
 
 async def _run_entry(settings: EntrySettings) -> None:
     from lagoonbeam.entry.application import EntryApplication
+    from lagoonbeam.entry.asgi import AsgiHandler
+    from lagoonbeam.entry.problems import make_refusal
     from lagoonbeam.entry.scheduler_client import SchedulerClient
 
     events = EventLog(
@@ -88,15 +89,31 @@
         shutdown_requested.set()
         await anyio.sleep_forever()
 
+    budget = make_request_budget(
+        settings.machine,
+        settings.request_limits,
+        events=events,
+        metrics=metrics,
+    )
+    server = HttpServer(
+        AsgiHandler(entry_application.build_asgi_application()).answer,
+        ServerLimits(
+            body_bytes=settings.limits.body_bytes,
+            header_timeout_s=settings.limits.header_timeout_s,
+            idle_timeout_s=settings.limits.idle_timeout_s,
+            answers_silence=True,
+        ),
+        budget=budget,
+        buffers=SocketBuffers(),
+        check_head=entry_application.check_head,
+        make_refusal=make_refusal,
+    )
     async with anyio.create_task_group() as task_group:
         await scheduler_client.start(task_group)
         events.emit("entry.started")
         task_group.start_soon(drain_on_signal, drain)
-        await _serve_http(
-            entry_application.build_asgi_application(),
-            settings,
-            shutdown_requested,
-        )
+        task_group.start_soon(budget.monitor.run)
+        await _serve_http(server, settings, shutdown_requested)
         await scheduler_client.close()
         metrics.close()
         task_group.cancel_scope.cancel()
@@ -104,24 +121,21 @@
 
 
 async def _serve_http(
-    asgi_application: Starlette,
+    server: HttpServer,
     settings: EntrySettings,
     shutdown_requested: anyio.Event,
 ) -> None:
     """Serves until a shutdown is requested, then finishes open requests."""
-    hypercorn_config = Config()
-    hypercorn_config.bind = [f"{settings.listen.host}:{settings.listen.port}"]
-    hypercorn_config.graceful_timeout = settings.drain_s
-    hypercorn_config.read_timeout = None
-    hypercorn_config.keep_alive_timeout = 60.0
-    hypercorn_config.h11_max_incomplete_size = 16_384
-    hypercorn_config.include_server_header = False
-    hypercorn_application = cast(Framework, asgi_application)
-    await serve(
-        hypercorn_application,
-        hypercorn_config,
-        shutdown_trigger=shutdown_requested.wait,
-    )
+    async with anyio.create_task_group() as task_group:
+        await task_group.start(
+            server.serve, settings.listen.host, settings.listen.port
+        )
+        await shutdown_requested.wait()
+        server.stop_accepting()
+        server.drain()
+        task_group.cancel_scope.deadline = (
+            anyio.current_time() + settings.drain_s
+        )
 
 
 def main() -> None:
--- a/lagoonbeam/core/http_request_reader.py
+++ b/lagoonbeam/core/http_request_reader.py
@@ -2,21 +2,27 @@
 
 from __future__ import annotations
 
+import math
 import time
 from collections import deque
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any
 
 import anyio
 import httptools
 
-from lagoonbeam.core.http_client import READ_CHUNK_BYTES
+from lagoonbeam.core.http_client import READ_CHUNK_BYTES, Response
 from lagoonbeam.core.request_budget import ConnectionAccount, MessageMeter
 from lagoonbeam.core.request_budget.settings import RequestLimitSettings
 from lagoonbeam.core.tcp_connection import TcpConnection
 
 PARSE_BYTES = 2_048
 """Data parsed at a time; bounds the requests that it may contain."""
+CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+"""Asks a client that waits before its body to send it."""
+REFUSED_BODY_TIMEOUT_S = 0.5
+"""Longest wait for the body of a request that is refused by its head."""
 
 
 @dataclass(slots=True)
@@ -29,6 +35,9 @@
         headers: Header fields by lower-case name.
         body: Its body.
         received_at_s: Monotonic time at which its first byte was parsed.
+        refusal: The response if it is refused by its head; its body is dropped.
+        is_complete: Whether its body has arrived; otherwise no further request
+            can be read.
     """
 
     method: str = ""
@@ -36,6 +45,11 @@
     headers: dict[str, str] = field(default_factory=dict)
     body: bytes = b""
     received_at_s: float = 0.0
+    refusal: Response | None = None
+    is_complete: bool = False
+
+
+HeadChecker = Callable[[Request], Response | None]
 
 
 @dataclass(frozen=True, slots=True)
@@ -47,12 +61,15 @@
         body_bytes: Largest body.
         header_timeout_s: Longest wait for more data of an incomplete request.
         idle_timeout_s: Longest wait for the next request of a connection.
+        answers_silence: Whether an incomplete request is answered with 408
+            after `header_timeout_s`; otherwise its connection is closed.
     """
 
     header_bytes: int = 16_384
     body_bytes: int = 262_144
     header_timeout_s: float = 3.0
     idle_timeout_s: float = 15.0
+    answers_silence: bool = False
 
 
 class RequestReader:
@@ -63,6 +80,8 @@
         account: What the connection holds of the process.
         limits: Limits on requests.
         settings: Slowest rate of a request.
+        check_head: Returns the response to a request that is refused before
+            its body arrives, or None.
 
     Attributes:
         error_status: HTTP status of the limit that the client has exceeded, or
@@ -75,7 +94,9 @@
         account: ConnectionAccount,
         limits: ServerLimits,
         settings: RequestLimitSettings,
+        check_head: HeadChecker | None = None,
     ):
+        self._check_head = check_head
         self._connection = connection
         self._account = account
         self._limits = limits
@@ -89,6 +110,7 @@
         self._parsed_requests: deque[tuple[Request, MessageMeter]] = deque()
         self._served_bytes = 0
         self._waiting_since_s = 0.0
+        self._refusal_deadline_s = math.inf
         self._receive_scope = anyio.CancelScope()
         self._is_reading = False
         self.error_status = 0
@@ -124,19 +146,33 @@
     def on_headers_complete(self) -> None:
         """Refuses a body that is announced as too large."""
         self._meter.is_head_complete = True
-        announced_bytes = int(self._request.headers.get("content-length", 0))
+        request = self._request
+        request.method = self._parser.get_method().decode("ascii")
+        announced_bytes = int(request.headers.get("content-length", 0))
         if announced_bytes > self._limits.body_bytes:
             self.error_status = 413
+        elif self._check_head is not None and _has_body(request):
+            request.refusal = self._check_head(request)
+        if self.error_status or self._parser.should_upgrade():
+            return
+        if request.refusal is not None:
+            self._refusal_deadline_s = (
+                anyio.current_time() + REFUSED_BODY_TIMEOUT_S
+            )
+        elif request.headers.get("expect", "").lower() == "100-continue":
+            self._connection.send_now(CONTINUE)
 
     def on_body(self, data: bytes) -> None:
         """Takes a part of the body."""
-        self._body += data
+        if self._request.refusal is None:
+            self._body += data
         self._meter.body_bytes += len(data)
 
     def on_message_complete(self) -> None:
         """Takes the end of a request, or of a head with an offer."""
-        self._request.method = self._parser.get_method().decode("ascii")
         self._request.body = bytes(self._body)
+        self._request.is_complete = True
+        self._refusal_deadline_s = math.inf
         self._body = bytearray()
         meter, self._meter = self._meter, MessageMeter()
         self._check_limits(meter)
@@ -168,6 +204,8 @@
                 if not self._hold():
                     self.error_status = 503
                 return request
+            if anyio.current_time() >= self._refusal_deadline_s:
+                return self._request
             if not await self._receive():
                 return None
 
@@ -195,7 +233,12 @@
             self._chunk = await self._connection.receive(READ_CHUNK_BYTES)
             self._parsed_bytes = 0
         if scope.cancelled_caught:
-            if anyio.current_time() >= self._get_last_deadline_s():
+            if math.isfinite(self._refusal_deadline_s):
+                self._refusal_deadline_s = anyio.current_time()
+                return True
+            if anyio.current_time() >= self._get_last_deadline_s() or (
+                self._meter.has_begun and self._limits.answers_silence
+            ):
                 self.error_status = 408
                 return True
             return False
@@ -273,9 +316,16 @@
         return min(
             self._waiting_since_s + self._limits.header_timeout_s,
             self._get_last_deadline_s(),
+            self._refusal_deadline_s,
         )
 
     def _get_last_deadline_s(self) -> float:
         return self._meter.get_deadline_s(
             self._settings.request_grace_s, self._settings.min_rate_bytes_per_s
         )
+
+
+def _has_body(request: Request) -> bool:
+    """Returns whether a body follows the head of a request."""
+    announced_bytes = request.headers.get("content-length", "0").strip()
+    return announced_bytes != "0" or "transfer-encoding" in request.headers
--- a/lagoonbeam/core/http_server.py
+++ b/lagoonbeam/core/http_server.py
@@ -13,6 +13,7 @@
 
 from lagoonbeam.core.http_client import Response
 from lagoonbeam.core.http_request_reader import (
+    HeadChecker,
     Request,
     RequestReader,
     ServerLimits,
@@ -30,7 +31,13 @@
     accept_connections,
 )
 
-__all__ = ["Handler", "HttpServer", "Request", "ServerLimits"]
+__all__ = [
+    "Handler",
+    "HttpServer",
+    "Request",
+    "ServerLimits",
+    "make_plain_refusal",
+]
 
 WRITE_TIMEOUT_S = 5.0
 """Time that a client may take to read a response."""
@@ -42,6 +49,7 @@
     202: "Accepted",
     400: "Bad Request",
     401: "Unauthorized",
+    403: "Forbidden",
     404: "Not Found",
     405: "Method Not Allowed",
     408: "Request Timeout",
@@ -52,6 +60,7 @@
     429: "Too Many Requests",
     431: "Request Header Fields Too Large",
     500: "Internal Server Error",
+    502: "Bad Gateway",
     503: "Service Unavailable",
     504: "Gateway Timeout",
 }
@@ -67,6 +76,12 @@
 Handler = Callable[[Request], Awaitable[Response]]
 
 
+def make_plain_refusal(status: int) -> Response:
+    """Returns the response without a body to a client at a limit."""
+    headers = {"Retry-After": str(RETRY_AFTER_S)} if status == 503 else {}
+    return Response(status, headers=headers)
+
+
 class HttpServer:
     """Serves HTTP/1.1 with a task per connection.
 
@@ -78,6 +93,10 @@
         share: The part of the budget for this server's clients.
         buffers: The kernel's buffers of each connection, which count toward
             the budget; if None, the kernel chooses and they do not count.
+        check_head: Returns the response to a request that is refused before
+            its body arrives, or None; called for requests with a body.
+        make_refusal: Returns the response to a client at a limit, given the
+            HTTP status of the limit.
     """
 
     def __init__(
@@ -88,6 +107,8 @@
         budget: RequestBudget | None = None,
         share: Share = Share.CALLERS,
         buffers: SocketBuffers | None = None,
+        check_head: HeadChecker | None = None,
+        make_refusal: Callable[[int], Response] = make_plain_refusal,
     ):
         self._handler = handler
         self._limits = limits or ServerLimits()
@@ -95,6 +116,9 @@
         self._share = share
         self._buffers = buffers
         self._buffer_bytes = buffers.memory_bytes if buffers else 0
+        self._check_head = check_head
+        self._make_refusal = make_refusal
+        self._accept_scope = anyio.CancelScope()
         self._readers: set[RequestReader] = set()
         self.draining = False
         self.open_requests = 0
@@ -107,31 +131,50 @@
         *,
         task_status: anyio.abc.TaskStatus[int] = anyio.TASK_STATUS_IGNORED,
     ) -> None:
-        """Serves until cancelled; reports the bound port once it listens."""
+        """Serves until cancelled; reports the bound port once it listens.
+
+        After `stop_accepting`, returns once all connections have ended.
+        """
         listener = await anyio.create_tcp_listener(
             local_host=host,
             local_port=port,
             backlog=LISTEN_BACKLOG,
             reuse_port=False,
         )
-        async with listener, anyio.create_task_group() as tasks:
-            task_status.started(
-                listener.extra(anyio.abc.SocketAttribute.local_port)
-            )
-            listening_socket: socket.socket = listener.extra(
-                anyio.abc.SocketAttribute.raw_socket
-            )
-            if self._buffers is not None:
-                self._buffers.apply(listening_socket)
+        async with anyio.create_task_group() as tasks:
 
-            def start_connection(connection: TcpConnection) -> None:
-                tasks.start_soon(self._serve_connection, connection)
+            def start_connection(
+                connection: TcpConnection, account: ConnectionAccount | None
+            ) -> None:
+                if account is None:
+                    connection.send_last(self._encode_refusal(503))
+                    connection.close()
+                else:
+                    tasks.start_soon(
+                        self._serve_connection, connection, account
+                    )
 
-            await accept_connections(
-                listening_socket,
-                start_connection,
-                lambda: self._budget.monitor.record(Limit.DESCRIPTORS),
-            )
+            async with listener:
+                task_status.started(
+                    listener.extra(anyio.abc.SocketAttribute.local_port)
+                )
+                listening_socket: socket.socket = listener.extra(
+                    anyio.abc.SocketAttribute.raw_socket
+                )
+                if self._buffers is not None:
+                    self._buffers.apply(listening_socket)
+                with self._accept_scope:
+                    await accept_connections(
+                        listening_socket,
+                        self._budget,
+                        self._share,
+                        start_connection,
+                        buffer_bytes=self._buffer_bytes,
+                    )
+
+    def stop_accepting(self) -> None:
+        """Stops listening; open connections are served on."""
+        self._accept_scope.cancel()
 
     def set_limits(self, limits: ServerLimits) -> None:
         """Changes the limits, also those of open connections."""
@@ -145,15 +188,15 @@
         for scope in list(self._idle_scopes):
             scope.cancel()
 
-    async def _serve_connection(self, connection: TcpConnection) -> None:
-        account = self._budget.open_connection(
-            self._share, buffer_bytes=self._buffer_bytes
-        )
-        if account is None:
-            connection.close()
-            return
+    async def _serve_connection(
+        self, connection: TcpConnection, account: ConnectionAccount
+    ) -> None:
         reader = RequestReader(
-            connection, account, self._limits, self._budget.settings
+            connection,
+            account,
+            self._limits,
+            self._budget.settings,
+            self._check_head,
         )
         scope = anyio.CancelScope()
 
@@ -173,7 +216,7 @@
                     account.mark_idle()
                     await anyio.lowlevel.checkpoint()
             if scope.cancelled_caught and reader.is_receiving:
-                connection.send_last(_encode_refusal(503))
+                connection.send_last(self._encode_refusal(503))
         except (anyio.ClosedResourceError, OSError):
             return
         except httptools.HttpParserError as error:
@@ -207,7 +250,7 @@
             status = reader.error_status or 503
             if status in _LIMITS_BY_STATUS:
                 self._budget.monitor.record(_LIMITS_BY_STATUS[status])
-            connection.send_last(_encode_refusal(status))
+            connection.send_last(self._encode_refusal(status))
             return False
         account.mark_served()
         self.open_requests += 1
@@ -215,6 +258,7 @@
             response = await self._call_handler(request)
             keep_alive = (
                 request.headers.get("connection", "").lower() != "close"
+                and request.is_complete
                 and not self.draining
             )
             reader.hold_response(len(response.body))
@@ -223,7 +267,12 @@
             self.open_requests -= 1
         return keep_alive
 
+    def _encode_refusal(self, status: int) -> bytes:
+        return _encode_response(self._make_refusal(status), keep_alive=False)
+
     async def _call_handler(self, request: Request) -> Response:
+        if request.refusal is not None:
+            return request.refusal
         try:
             return await self._handler(request)
         except Exception:
@@ -246,11 +295,6 @@
             connection.send_last(b"")
 
 
-def _encode_refusal(status: int) -> bytes:
-    headers = {"Retry-After": str(RETRY_AFTER_S)} if status == 503 else {}
-    return _encode_response(Response(status, headers=headers), keep_alive=False)
-
-
 def _encode_response(response: Response, keep_alive: bool) -> bytes:
     reason = REASON_PHRASES.get(response.status, "Status")
     lines = [f"HTTP/1.1 {response.status} {reason}"]
--- a/lagoonbeam/core/request_budget/budget.py
+++ b/lagoonbeam/core/request_budget/budget.py
@@ -3,10 +3,13 @@
 from __future__ import annotations
 
 import enum
+import math
 from collections import OrderedDict
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from itertools import chain
 
+import anyio
+
 from lagoonbeam.core.request_budget.limit_monitor import Limit, LimitMonitor
 from lagoonbeam.core.request_budget.settings import RequestLimitSettings
 
@@ -15,6 +18,8 @@
 BYTES_PER_MB = 1 << 20
 RESERVED_DESCRIPTORS = 200
 """Descriptors of a machine that are no sockets."""
+MAX_ROOM_WAIT_S = 0.5
+"""Longest wait for room before new connections are refused."""
 DEFAULT_MEMORY_MB = 300
 DEFAULT_DESCRIPTORS = 4_100
 
@@ -30,12 +35,17 @@
     PROBES = 0.05
 
 
+DEFAULT_SHARES = {share: share.value for share in Share}
+
+
 class _Part:
     """What the clients of one share hold.
 
     Attributes:
         held_bytes: Memory held by all connections.
         connection_count: Number of open connections.
+        fresh: Connections that have not sent a whole request yet, the longest
+            idle first.
         idle: Connections without a request, the longest idle first.
         waiting: Connections that wait for their client during a request, the
             one that has been without progress for longest first.
@@ -46,8 +56,35 @@
         self.max_connections = max_connections
         self.held_bytes = 0
         self.connection_count = 0
+        self.fresh: OrderedDict[ConnectionAccount, None] = OrderedDict()
         self.idle: OrderedDict[ConnectionAccount, None] = OrderedDict()
         self.waiting: OrderedDict[ConnectionAccount, None] = OrderedDict()
+        self._full_since_s = math.inf
+        self._room_found = anyio.Event()
+
+    @property
+    def has_room(self) -> bool:
+        """Whether a connection can be opened, possibly in place of another."""
+        return self.connection_count < self.max_connections or bool(
+            self.fresh or self.idle or self.waiting
+        )
+
+    def notify_room(self) -> None:
+        """Wakes the task that waits for room."""
+        self._room_found.set()
+
+    async def wait_for_room(self) -> None:
+        """Waits until there is room, or there has been none for too long."""
+        while not self.has_room:
+            now_s = anyio.current_time()
+            self._full_since_s = min(self._full_since_s, now_s)
+            deadline_s = self._full_since_s + MAX_ROOM_WAIT_S
+            if now_s >= deadline_s:
+                return
+            self._room_found = anyio.Event()
+            with anyio.CancelScope(deadline=deadline_s):
+                await self._room_found.wait()
+        self._full_since_s = math.inf
 
 
 class ConnectionAccount:
@@ -71,6 +108,7 @@
         self._connection_bytes = connection_bytes
         self.on_evict: Callable[[], None] = lambda: None
         self._held_bytes = 0
+        self._has_been_served = False
         self.is_closed = False
         part.connection_count += 1
         self.mark_idle()
@@ -78,17 +116,24 @@
     def mark_idle(self) -> None:
         """Records that the connection has no request."""
         self._leave_queues()
-        if not self.is_closed:
+        if self.is_closed:
+            return
+        if self._has_been_served:
             self._part.idle[self] = None
+        else:
+            self._part.fresh[self] = None
+        self._part.notify_room()
 
     def mark_progress(self) -> None:
         """Records that the client has sent or read a part of its request."""
         self._leave_queues()
         if not self.is_closed:
             self._part.waiting[self] = None
+            self._part.notify_room()
 
     def mark_served(self) -> None:
         """Records that the request is being handled and can't be ended."""
+        self._has_been_served = True
         self._leave_queues()
 
     def hold(self, request_bytes: int) -> bool:
@@ -124,7 +169,9 @@
         if added_bytes <= 0 or missing_bytes <= 0 or part.connection_count <= 1:
             return True
         others = [
-            each for each in chain(part.waiting, part.idle) if each is not self
+            each
+            for each in chain(part.waiting, part.fresh, part.idle)
+            if each is not self
         ]
         if len(others) == part.connection_count - 1:
             return True
@@ -145,8 +192,10 @@
         self.on_evict = lambda: None
         self._part.held_bytes -= self._held_bytes
         self._part.connection_count -= 1
+        self._part.notify_room()
 
     def _leave_queues(self) -> None:
+        self._part.fresh.pop(self, None)
         self._part.idle.pop(self, None)
         self._part.waiting.pop(self, None)
 
@@ -156,12 +205,13 @@
 ) -> bool:
     """Closes the connection that waits for its client for longest.
 
-    Connections during a request come before idle ones, as those hold little.
+    Connections during a request come before those without one, which hold
+    little.
 
     Returns:
         Whether there was one.
     """
-    for queue in (part.waiting, part.idle):
+    for queue in (part.waiting, part.fresh, part.idle):
         for account in queue:
             if account is not spared:
                 account.evict()
@@ -177,6 +227,8 @@
         memory_mb: Memory of the machine; a default if it is not known.
         descriptors: File descriptors of the machine; a default if they are
             not known.
+        reserved_descriptors: Those that are not for connections of clients.
+        shares: The part of each kind of client; by default its value.
 
     Attributes:
         settings: The bounds.
@@ -189,6 +241,8 @@
         *,
         memory_mb: float | None = None,
         descriptors: int | None = None,
+        reserved_descriptors: int = RESERVED_DESCRIPTORS,
+        shares: Mapping[Share, float] | None = None,
     ):
         self.settings = settings or RequestLimitSettings()
         self.monitor = LimitMonitor()
@@ -196,14 +250,14 @@
             (memory_mb or DEFAULT_MEMORY_MB) * BYTES_PER_MB
         )
         connections = self.settings.descriptor_fraction * max(
-            0, (descriptors or DEFAULT_DESCRIPTORS) - RESERVED_DESCRIPTORS
+            0, (descriptors or DEFAULT_DESCRIPTORS) - reserved_descriptors
         )
         self._parts = {
             share: _Part(
-                int(memory_bytes * share.value),
-                max(1, int(connections * share.value)),
+                int(memory_bytes * fraction),
+                max(1, int(connections * fraction)),
             )
-            for share in Share
+            for share, fraction in (shares or DEFAULT_SHARES).items()
         }
 
     @property
@@ -216,12 +270,39 @@
         """Number of open connections."""
         return sum(part.connection_count for part in self._parts.values())
 
+    async def wait_for_room(self, share: Share) -> None:
+        """Waits until a connection can be opened, or for `MAX_ROOM_WAIT_S`.
+
+        Without room, all connections have a request that is being handled.
+        Most requests are handled sooner, and their connections can be closed
+        then; if no connection could be opened for that time, this returns at
+        once, so that new ones are refused.
+
+        Args:
+            share: The kind of client.
+        """
+        await self._parts[share].wait_for_room()
+
+    def has_room(self, share: Share) -> bool:
+        """Returns whether a connection can be opened, in place of another."""
+        return self._parts[share].has_room
+
+    def close_for_descriptors(self, share: Share) -> None:
+        """Closes a connection, as the process lacks descriptors for another.
+
+        Args:
+            share: The kind of client.
+        """
+        self.monitor.record(Limit.DESCRIPTORS)
+        self._close_connection(self._parts[share])
+
     def open_connection(
         self, share: Share, *, buffer_bytes: int = 0
     ) -> ConnectionAccount | None:
         """Returns the account of a new connection, or None without room.
 
-        The connections that have been idle for longest are closed first.
+        Connections that have not sent a request yet are closed first, then
+        those that have been idle for longest.
 
         Args:
             share: The kind of client.
@@ -230,10 +311,8 @@
         part = self._parts[share]
         while part.connection_count >= part.max_connections:
             self.monitor.record(Limit.CONNECTIONS)
-            queue = part.idle or part.waiting
-            if not queue:
+            if not self._close_connection(part):
                 return None
-            next(iter(queue)).evict()
         account = ConnectionAccount(
             part, self.monitor, CONNECTION_BYTES + buffer_bytes
         )
@@ -241,3 +320,12 @@
             return account
         account.close()
         return None
+
+    @staticmethod
+    def _close_connection(part: _Part) -> bool:
+        """Closes the connection that is missed least; returns if there is."""
+        queue = part.fresh or part.idle or part.waiting
+        if not queue:
+            return False
+        next(iter(queue)).evict()
+        return True
--- a/lagoonbeam/core/settings.py
+++ b/lagoonbeam/core/settings.py
@@ -13,12 +13,14 @@
 import msgspec
 import yaml
 
+from lagoonbeam.core.request_budget.settings import RequestLimitSettings
 from lagoonbeam.core.validation import validate_settings
 from lagoonbeam.errors import SettingsError
 
 Port = Annotated[int, msgspec.Meta(ge=1, le=65_535)]
 Seconds = Annotated[float, msgspec.Meta(gt=0)]
 PositiveInt = Annotated[int, msgspec.Meta(ge=1)]
+NonNegativeInt = Annotated[int, msgspec.Meta(ge=0)]
 NonEmptyText = Annotated[str, msgspec.Meta(min_length=1)]
 
 
@@ -105,6 +107,19 @@
     prefix: str = "lagoonbeam"
 
 
+class MachineSettings(Settings, frozen=True):
+    """What the machine gives a process.
+
+    Attributes:
+        memory_mb: Memory that the process may take.
+        descriptors: File descriptors that it may open; 0 for the limit that
+            the process was started with.
+    """
+
+    memory_mb: PositiveInt = 160
+    descriptors: NonNegativeInt = 0
+
+
 class Peer(Settings, frozen=True):
     """A scheduler that is reachable before the instance list has been read.
 
@@ -143,6 +158,8 @@
         job_attempts: Number of workers on which an idempotent job has to fail
             before it is reported as failed; workers that are at fault do not
             count.
+        machine: What the machine gives the process.
+        request_limits: Bounds on what connections may hold of the process.
         log_level: Lowest severity that is logged.
         fault_points: Names of the steps at which the process exits
             immediately; for tests only.
@@ -161,6 +178,8 @@
     append_timeout_s: Seconds = 3.0
     drain_s: Seconds = 10.0
     job_attempts: PositiveInt = 3
+    machine: MachineSettings = MachineSettings()
+    request_limits: RequestLimitSettings = RequestLimitSettings()
     log_level: Literal["DEBUG", "INFO", "WARNING", "ERROR"] = "INFO"
     fault_points: tuple[NonEmptyText, ...] = ()
 
@@ -187,7 +206,8 @@
 
     Attributes:
         body_bytes: Maximum size of a request body.
-        header_timeout_s: Time-out for receiving a request body.
+        header_timeout_s: Longest wait for more data of an incomplete request.
+        idle_timeout_s: Longest wait for the next request of a connection.
         open_requests: Maximum number of requests served at the same time.
         wait_s: Longest wait for the outcome of a job that a request may ask
             for.
@@ -195,6 +215,7 @@
 
     body_bytes: PositiveInt = 262_144
     header_timeout_s: Seconds = 5.0
+    idle_timeout_s: Seconds = 60.0
     open_requests: PositiveInt = 2_000
     wait_s: Seconds = 3_600.0
 
@@ -211,6 +232,8 @@
         limits: Limits on requests to the entry.
         metrics: The statsd server and the prefix of metric names.
         drain_s: Longest time to complete open requests after SIGTERM.
+        machine: What the machine gives the process.
+        request_limits: Bounds on what clients may hold of the process.
         log_level: Lowest severity that is logged.
     """
 
@@ -222,6 +245,8 @@
     limits: LimitsSettings = LimitsSettings()
     metrics: MetricsSettings = MetricsSettings()
     drain_s: Seconds = 30.0
+    machine: MachineSettings = MachineSettings()
+    request_limits: RequestLimitSettings = RequestLimitSettings()
     log_level: Literal["DEBUG", "INFO", "WARNING", "ERROR"] = "INFO"
 
 
--- a/lagoonbeam/core/tcp_connection.py
+++ b/lagoonbeam/core/tcp_connection.py
@@ -15,7 +15,15 @@
 
 import anyio
 
-from lagoonbeam.core.http_client import enable_tcp_keep_alive
+from lagoonbeam.core.http_client import (
+    READ_CHUNK_BYTES,
+    enable_tcp_keep_alive,
+)
+from lagoonbeam.core.request_budget import (
+    ConnectionAccount,
+    RequestBudget,
+    Share,
+)
 
 ACCEPT_BATCH = 16
 """Connections accepted in a turn of the event loop."""
@@ -25,6 +33,8 @@
 LISTEN_BACKLOG = 128
 """Connections that the kernel completes before they are accepted; each may
 already hold as much as its receive buffer."""
+MAX_DROPPED_PIECES = 4
+"""Pieces of received data that are dropped when a connection ends."""
 KERNEL_BUFFER_FACTOR = 2
 """Linux allocates twice the buffer size that is set, for its own overhead."""
 
@@ -114,11 +124,23 @@
                 await anyio.wait_writable(self._socket)
         self._has_unsent_data = False
 
+    def send_now(self, data: bytes) -> None:
+        """Sends short data if the client takes it at once."""
+        with contextlib.suppress(OSError):
+            self._socket.send(data)
+
     def send_last(self, data: bytes) -> None:
-        """Sends data as far as the client takes it at once, and the end."""
+        """Sends data as far as the client takes it at once, and the end.
+
+        Received data is dropped, as closing the connection before it is read
+        would reset it, and the client might not see what was sent.
+        """
         with contextlib.suppress(OSError):
             self._socket.send(data)
             self._socket.shutdown(socket.SHUT_WR)
+            for _ in range(MAX_DROPPED_PIECES):
+                if not self._socket.recv(READ_CHUNK_BYTES):
+                    break
 
     def close(self) -> None:
         """Closes the connection; data that was not sent is dropped.
@@ -136,25 +158,39 @@
 
 async def accept_connections(
     listening_socket: socket.socket,
-    on_connection: Callable[[TcpConnection], None],
-    on_failure: Callable[[], None],
+    budget: RequestBudget,
+    share: Share,
+    on_connection: Callable[[TcpConnection, ConnectionAccount | None], None],
+    *,
+    buffer_bytes: int = 0,
 ) -> None:
-    """Accepts connections until cancelled.
+    """Accepts connections within a budget until cancelled.
 
     Args:
         listening_socket: A socket that listens and does not block.
-        on_connection: Called with each connection.
-        on_failure: Called when the process or the machine lacks what an open
-            connection takes; accepting goes on after a pause.
+        budget: Bounds the connections. If the process or the machine lacks
+            what another one takes, one is closed and accepting goes on after
+            a pause.
+        share: The kind of client.
+        on_connection: Called with each connection and its account, which is
+            None if there is no room for it.
+        buffer_bytes: Memory that the kernel may take for a connection.
     """
     while True:
         await anyio.wait_readable(listening_socket)
+        await budget.wait_for_room(share)
         try:
             for _ in range(ACCEPT_BATCH):
-                on_connection(TcpConnection(listening_socket.accept()[0]))
+                connection = TcpConnection(listening_socket.accept()[0])
+                account = budget.open_connection(
+                    share, buffer_bytes=buffer_bytes
+                )
+                on_connection(connection, account)
+                if not budget.has_room(share):
+                    break
         except (BlockingIOError, ConnectionError):
             continue
         except OSError as error:
             _LOGGER.warning("cannot accept a connection: %s", error)
-            on_failure()
+            budget.close_for_descriptors(share)
             await anyio.sleep(ACCEPT_PAUSE_S)
--- a/lagoonbeam/entry/application.py
+++ b/lagoonbeam/entry/application.py
@@ -14,6 +14,7 @@
 from starlette.responses import Response
 from starlette.routing import Route
 
+from lagoonbeam.core import http_client, http_server
 from lagoonbeam.core.events import Event, EventLog
 from lagoonbeam.core.jobs import Job, JobStatus
 from lagoonbeam.core.messages import (
@@ -39,8 +40,10 @@
     require_operator,
     require_organisation,
 )
-from lagoonbeam.entry.problems import make_problem_response
-from lagoonbeam.entry.request_body import is_body_read, read_body
+from lagoonbeam.entry.problems import (
+    make_problem_response,
+    make_server_response,
+)
 from lagoonbeam.entry.requests import decode_job
 from lagoonbeam.entry.responses import make_json_response
 from lagoonbeam.entry.scheduler_client import SchedulerClient, expect_reply
@@ -50,6 +53,7 @@
     LinkError,
     NotReadyError,
     TooManyRequestsError,
+    UnauthorizedError,
     UnavailableError,
     UnknownJobError,
 )
@@ -95,6 +99,17 @@
         """Reports not ready, and ends the waits of requests by a time-out."""
         self._drain_deadline_s = time.monotonic() + timeout_s
 
+    def check_head(
+        self, request: http_server.Request
+    ) -> http_client.Response | None:
+        """Returns the response to a request whose body is not to be read."""
+        authorization = request.headers.get("authorization", "")
+        try:
+            self._authenticator.authenticate(authorization)
+        except UnauthorizedError as error:
+            return make_server_response(error)
+        return None
+
     def build_asgi_application(self) -> Starlette:
         """Returns the ASGI application."""
         routes: list[tuple[str, str, RequestHandler]] = [
@@ -125,12 +140,6 @@
         """Adds authentication, the request limit and error responses."""
 
         async def handle_request(request: Request) -> Response:
-            response = await answer_request(request)
-            if not await is_body_read(request, self._settings.limits):
-                response.headers["connection"] = "close"
-            return response
-
-        async def answer_request(request: Request) -> Response:
             self.open_requests += 1
             started_s = time.monotonic()
             try:
@@ -159,7 +168,7 @@
     ) -> Response:
         organisation = require_organisation(token)
         wait_s = self._parse_wait_s(request)
-        body = await read_body(request, self._settings.limits)
+        body = await request.body()
         key = request.headers.get("idempotency-key", "").strip('"')
         job = decode_job(body, organisation=organisation, key=key)
         self._events.emit(
@@ -273,7 +282,7 @@
         self, request: Request, token: AccessToken
     ) -> Response:
         require_operator(token)
-        body = await read_body(request, self._settings.limits)
+        body = await request.body()
         message = PublishRules(body.decode(errors="replace"), token.role)
         reply = await self._schedulers.call_local(
             message, timeout_s=CALL_TIMEOUT_S
