--- a/lagoonbeam/core/link.py
+++ b/lagoonbeam/core/link.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import struct
 from collections.abc import Awaitable, Callable
 from types import TracebackType
@@ -16,6 +17,8 @@
 import msgspec
 
 from lagoonbeam.core.clock import HybridClock
+from lagoonbeam.core.http_client import READ_CHUNK_BYTES
+from lagoonbeam.core.link_account import LinkAccount, get_call_bytes
 from lagoonbeam.core.messages import (
     MAX_FRAME_BYTES,
     Frame,
@@ -23,11 +26,14 @@
     Refusal,
     decode_frame,
     encode_frame,
+    is_read_only,
 )
 from lagoonbeam.errors import (
     LagoonbeamError,
     LinkClosedError,
+    LinkNotOpenedError,
     LinkTimeoutError,
+    TooManyRequestsError,
     make_error,
 )
 
@@ -37,6 +43,13 @@
 """Default time to wait for a reply."""
 SEND_TIMEOUT_S = 2.0
 """Time that a write may block before the link is closed."""
+FRAME_TIMEOUT_S = 10.0
+"""Time in which a frame has to arrive once it has begun."""
+MAX_ACCEPTED_FRAME_BYTES = 8 << 20
+"""Longest frame on a link that the other side has opened; only replies with a
+state are longer."""
+REFUSED_CALL_RETRY_S = 1.0
+"""When a call that found no room may be made again."""
 
 Handler = Callable[[Message], Awaitable[Message]]
 
@@ -50,6 +63,7 @@
         stream: The connected stream.
         clock: The process's clock; frames carry its timestamps.
         handler: Handles the other side's messages and returns the replies.
+        account: Bounds what the other side holds, if it has opened the link.
     """
 
     def __init__(
@@ -58,7 +72,9 @@
         *,
         clock: HybridClock,
         handler: Handler,
+        account: LinkAccount | None = None,
     ):
+        self._account = account
         self._stream = stream
         self._clock = clock
         self._handler = handler
@@ -73,26 +89,39 @@
     async def run(self) -> None:
         """Reads frames until the connection ends.
 
-        Returns after the handlers of messages already received have ended.
+        Returns after the handlers of messages already received have ended;
+        those that only read are cancelled.
         """
-        async with anyio.create_task_group() as tasks:
+        async with (
+            anyio.create_task_group() as tasks,
+            anyio.create_task_group() as reading_tasks,
+        ):
             try:
                 while True:
-                    frame = await self._receive()
+                    frame, size_bytes = await self._receive()
                     self._clock.observe(frame.stamp)
                     if frame.is_reply:
                         self._complete_call(frame)
+                    elif not self._hold_call(get_call_bytes(size_bytes)):
+                        await self._refuse_call(frame)
+                    elif is_read_only(frame.message):
+                        reading_tasks.start_soon(
+                            self._handle_call, frame, size_bytes
+                        )
                     else:
-                        tasks.start_soon(self._handle_call, frame)
+                        tasks.start_soon(self._handle_call, frame, size_bytes)
             except (
                 anyio.EndOfStream,
                 anyio.BrokenResourceError,
                 anyio.ClosedResourceError,
                 capnp.KjException,
                 msgspec.ValidationError,
+                LinkClosedError,
+                TimeoutError,
             ):
                 pass
             finally:
+                reading_tasks.cancel_scope.cancel()
                 await self.close()
 
     async def call(
@@ -148,6 +177,9 @@
         if self.closed:
             return
         self.closed = True
+        if self._account is not None:
+            self._account.close()
+        self._buffer.clear()
         for reply_received, _ in self._pending_calls.values():
             reply_received.set()
         with anyio.move_on_after(1, shield=True):
@@ -161,24 +193,54 @@
         replies.append(frame.message)
         reply_received.set()
 
-    async def _handle_call(self, frame: Frame) -> None:
+    async def _handle_call(self, frame: Frame, size_bytes: int) -> None:
+        held_bytes = get_call_bytes(size_bytes)
         try:
-            reply = await self._handler(frame.message)
-        except LagoonbeamError as error:
-            reply = Refusal(error.code, error.detail, error.retry_after_s)
-        if frame.call_id and not self.closed:
             try:
-                await self._send(frame.call_id, reply, is_reply=True)
-            except LinkClosedError:
+                reply = await self._handler(frame.message)
+            except LagoonbeamError as error:
+                reply = _make_refusal(error)
+            if not frame.call_id or self.closed:
                 return
+            data = self._encode(frame.call_id, reply, is_reply=True)
+            if self._hold_call(len(data)):
+                held_bytes += len(data)
+            elif is_read_only(frame.message):
+                reply = _make_refusal(_make_overload_error())
+                data = self._encode(frame.call_id, reply, is_reply=True)
+            with contextlib.suppress(LinkClosedError):
+                await self._send_data(data)
+        finally:
+            if self._account is not None:
+                self._account.release_call(held_bytes)
+
+    async def _refuse_call(self, frame: Frame) -> None:
+        """Refuses a call for want of room; reading goes on once it is sent.
+
+        A notice is dropped: relayed log entries are sent again after the next
+        heartbeat, and outcomes are in the log.
+        """
+        if frame.call_id:
+            refusal = _make_refusal(_make_overload_error())
+            await self._send(frame.call_id, refusal, is_reply=True)
+
+    def _hold_call(self, size_bytes: int) -> bool:
+        return self._account is None or self._account.hold_call(size_bytes)
 
     async def _send(
         self, call_id: int, message: Message, *, is_reply: bool = False
     ) -> None:
+        await self._send_data(self._encode(call_id, message, is_reply=is_reply))
+
+    def _encode(
+        self, call_id: int, message: Message, *, is_reply: bool
+    ) -> bytes:
+        stamp = self._clock.tick()
+        return encode_frame(Frame(call_id, is_reply, stamp, message))
+
+    async def _send_data(self, data: bytes) -> None:
         if self.closed:
             raise LinkClosedError("the connection is closed")
-        stamp = self._clock.tick()
-        data = encode_frame(Frame(call_id, is_reply, stamp, message))
         with anyio.move_on_after(SEND_TIMEOUT_S) as scope:
             try:
                 async with self._send_lock:
@@ -197,23 +259,51 @@
             )
         self.sent_bytes += len(data) + _FRAME_LENGTH.size
 
-    async def _receive(self) -> Frame:
-        (length,) = _FRAME_LENGTH.unpack(
-            await self._read_exactly(_FRAME_LENGTH.size)
-        )
-        if length > MAX_FRAME_BYTES:
-            raise anyio.EndOfStream
-        return decode_frame(await self._read_exactly(length))
+    async def _receive(self) -> tuple[Frame, int]:
+        """Returns the next frame and its size in bytes."""
+        await self._fill_buffer(1)
+        with anyio.fail_after(FRAME_TIMEOUT_S):
+            (size_bytes,) = _FRAME_LENGTH.unpack(
+                await self._read_exactly(_FRAME_LENGTH.size)
+            )
+            is_accepted = self._account is not None
+            if size_bytes > (
+                MAX_ACCEPTED_FRAME_BYTES if is_accepted else MAX_FRAME_BYTES
+            ):
+                raise anyio.EndOfStream
+            data = await self._read_exactly(size_bytes)
+        if self._account is not None:
+            self._account.hold_received(len(self._buffer))
+            self._account.mark_frame()
+        return decode_frame(data), size_bytes
 
     async def _read_exactly(self, byte_count: int) -> bytes:
-        while len(self._buffer) < byte_count:
-            chunk = await self._stream.receive(65_536)
-            self.received_bytes += len(chunk)
-            self._buffer += chunk
+        await self._fill_buffer(byte_count)
         data = bytes(self._buffer[:byte_count])
         del self._buffer[:byte_count]
         return data
 
+    async def _fill_buffer(self, byte_count: int) -> None:
+        """Receives until the buffer has a number of bytes."""
+        while len(self._buffer) < byte_count:
+            chunk = await self._stream.receive(READ_CHUNK_BYTES)
+            self.received_bytes += len(chunk)
+            self._buffer += chunk
+            if self._account is not None and not self._account.hold_received(
+                len(self._buffer)
+            ):
+                raise anyio.EndOfStream
+
+
+def _make_overload_error() -> TooManyRequestsError:
+    return TooManyRequestsError(
+        "there is no room for the call", retry_after_s=REFUSED_CALL_RETRY_S
+    )
+
+
+def _make_refusal(error: LagoonbeamError) -> Refusal:
+    return Refusal(error.code, error.detail, error.retry_after_s)
+
 
 async def connect_link(
     host: str, port: int, *, clock: HybridClock, handler: Handler
@@ -230,13 +320,14 @@
         The link; the caller must start its `run`.
 
     Raises:
-        LinkClosedError: If no connection is made within `CONNECT_TIMEOUT_S`.
+        LinkNotOpenedError: If there is no connection within
+            `CONNECT_TIMEOUT_S`.
     """
     try:
         with anyio.fail_after(CONNECT_TIMEOUT_S):
             stream = await anyio.connect_tcp(host, port)
     except (OSError, TimeoutError) as error:
-        raise LinkClosedError(f"cannot connect to {host}:{port}") from error
+        raise LinkNotOpenedError(f"cannot connect to {host}:{port}") from error
     return Link(stream, clock=clock, handler=handler)
 
 
--- a/lagoonbeam/core/messages.py
+++ b/lagoonbeam/core/messages.py
@@ -22,6 +22,9 @@
 _SCHEMA = capnp.load(str(Path(__file__).with_name("messages.capnp")))
 MAX_FRAME_BYTES = 64 << 20
 """Longest frame that is accepted."""
+MIN_TRAVERSED_WORDS = 1_024
+"""Words of eight bytes that are read of a frame, beside one for each of its
+bytes: a frame can refer to the same words many times."""
 
 
 @dataclass(frozen=True)
@@ -340,6 +343,22 @@
     return value
 
 
+_READ_ONLY_MESSAGES = (
+    WaitJob,
+    ListJobs,
+    GetRules,
+    GetInstances,
+    GetFleet,
+    GetEvents,
+    FetchState,
+)
+
+
+def is_read_only(message: Message) -> bool:
+    """Returns whether handling a message changes nothing."""
+    return isinstance(message, _READ_ONLY_MESSAGES)
+
+
 def encode_frame(frame: Frame) -> bytes:
     """Encodes a frame."""
     union_field = _UNION_FIELDS[type(frame.message)]
@@ -360,7 +379,7 @@
         msgspec.ValidationError: If a field has the wrong type.
     """
     with _SCHEMA.Frame.from_bytes(
-        data, traversal_limit_in_words=MAX_FRAME_BYTES
+        data, traversal_limit_in_words=len(data) + MIN_TRAVERSED_WORDS
     ) as reader:
         body = reader.body
         union_field = str(body.which())
--- a/lagoonbeam/core/request_budget/budget.py
+++ b/lagoonbeam/core/request_budget/budget.py
@@ -18,6 +18,12 @@
 BYTES_PER_MB = 1 << 20
 RESERVED_DESCRIPTORS = 200
 """Descriptors of a machine that are no sockets."""
+FIRST_REQUEST_GRACE_S = 1.0
+"""Time that a new connection has for its first request before it gives way to
+others."""
+MAX_FRESH_FRACTION = 0.5
+"""The part of the connections that may be without a first request for that
+time."""
 MAX_ROOM_WAIT_S = 0.5
 """Longest wait for room before new connections are refused."""
 DEFAULT_MEMORY_MB = 300
@@ -69,6 +75,21 @@
             self.fresh or self.idle or self.waiting
         )
 
+    def find_most_dispensable(self) -> ConnectionAccount | None:
+        """Returns the connection to close for another one, if there is any.
+
+        Connections that send no request come first. They need a moment for it,
+        or new connections would close each other.
+        """
+        oldest = next(iter(self.fresh), None)
+        if oldest is not None and (
+            anyio.current_time() - oldest.opened_at_s >= FIRST_REQUEST_GRACE_S
+            or len(self.fresh) > MAX_FRESH_FRACTION * self.max_connections
+        ):
+            return oldest
+        queues = chain(self.idle, self.waiting, self.fresh)
+        return next(queues, None)
+
     def notify_room(self) -> None:
         """Wakes the task that waits for room."""
         self._room_found.set()
@@ -97,6 +118,7 @@
 
     Attributes:
         on_evict: Called to drop what the connection holds, and to end it.
+        opened_at_s: When the connection was opened.
         is_closed: Whether it holds nothing any more.
     """
 
@@ -109,6 +131,7 @@
         self.on_evict: Callable[[], None] = lambda: None
         self._held_bytes = 0
         self._has_been_served = False
+        self.opened_at_s = anyio.current_time()
         self.is_closed = False
         part.connection_count += 1
         self.mark_idle()
@@ -265,6 +288,11 @@
         """Memory that all connections hold."""
         return sum(part.held_bytes for part in self._parts.values())
 
+    @property
+    def max_bytes(self) -> int:
+        """Memory that all connections may hold."""
+        return sum(part.max_bytes for part in self._parts.values())
+
     @property
     def connection_count(self) -> int:
         """Number of open connections."""
@@ -301,8 +329,8 @@
     ) -> ConnectionAccount | None:
         """Returns the account of a new connection, or None without room.
 
-        Connections that have not sent a request yet are closed first, then
-        those that have been idle for longest.
+        Connections that have sent no request are closed first, then those that
+        have been idle for longest.
 
         Args:
             share: The kind of client.
@@ -323,9 +351,9 @@
 
     @staticmethod
     def _close_connection(part: _Part) -> bool:
-        """Closes the connection that is missed least; returns if there is."""
-        queue = part.fresh or part.idle or part.waiting
-        if not queue:
+        """Closes a connection for another; returns whether there is one."""
+        account = part.find_most_dispensable()
+        if account is None:
             return False
-        next(iter(queue)).evict()
+        account.evict()
         return True
--- a/lagoonbeam/core/tcp_connection.py
+++ b/lagoonbeam/core/tcp_connection.py
@@ -142,6 +142,15 @@
                 if not self._socket.recv(READ_CHUNK_BYTES):
                     break
 
+    def abort(self) -> None:
+        """Closes the connection while tasks may use it.
+
+        They raise `ClosedResourceError`.
+        """
+        if self._socket.fileno() >= 0:
+            anyio.notify_closing(self._socket)
+        self.close()
+
     def close(self) -> None:
         """Closes the connection; data that was not sent is dropped.
 
--- a/lagoonbeam/entry/scheduler_client.py
+++ b/lagoonbeam/entry/scheduler_client.py
@@ -9,17 +9,20 @@
 
 from lagoonbeam.core.clock import HybridClock
 from lagoonbeam.core.link import LinkClient
-from lagoonbeam.core.messages import Message
+from lagoonbeam.core.messages import Message, is_read_only
 from lagoonbeam.core.settings import Address
 from lagoonbeam.errors import (
     DrainingError,
     InvalidRequestError,
+    LagoonbeamError,
     LinkClosedError,
     LinkError,
+    LinkNotOpenedError,
     NotReadyError,
     UnavailableError,
 )
 
+ATTEMPTS_PER_SCHEDULER = 2
 FAILOVER_ERRORS = (LinkError, DrainingError, NotReadyError)
 """Failures after which the next scheduler is called."""
 
@@ -57,7 +60,9 @@
         """Calls the schedulers in order until one replies.
 
         A call that failed may have had its effect, so only idempotent calls
-        are made here: a job keeps its identifier at every scheduler.
+        are made here: a job keeps its identifier at every scheduler. A call
+        whose link is closed is repeated once over a new link, as a scheduler
+        closes the links that have been idle for longest if it lacks room.
 
         Args:
             message: Message to send.
@@ -69,16 +74,33 @@
 
         Raises:
             UnavailableError: The last failure, if no scheduler replied.
-            LagoonbeamError: The error with which a scheduler refused.
+            LagoonbeamError: The error with which a scheduler refused, unless
+                an earlier call may have had its effect.
         """
         last_error: UnavailableError = LinkClosedError(
             "no scheduler is configured"
         )
+        lost_call: LinkError | None = None
         for link_client in self._link_clients[: max_schedulers or None]:
-            try:
-                return await link_client.call(message, timeout_s=timeout_s)
-            except FAILOVER_ERRORS as error:
-                last_error = error
+            for _ in range(ATTEMPTS_PER_SCHEDULER):
+                try:
+                    return await link_client.call(message, timeout_s=timeout_s)
+                except LinkNotOpenedError as error:
+                    last_error = error
+                    break
+                except LinkClosedError as error:
+                    last_error = lost_call = error
+                except FAILOVER_ERRORS as error:
+                    last_error = error
+                    if isinstance(error, LinkError):
+                        lost_call = error
+                    break
+                except LagoonbeamError:
+                    if lost_call is None or is_read_only(message):
+                        raise
+                    raise lost_call from None
+        if lost_call is not None and not is_read_only(message):
+            raise lost_call
         raise last_error
 
     async def call_local(
--- a/lagoonbeam/errors.py
+++ b/lagoonbeam/errors.py
@@ -263,6 +263,12 @@
     code = "link_closed"
 
 
+class LinkNotOpenedError(LinkClosedError):
+    """The link could not be opened; the call was not sent."""
+
+    code = "link_not_opened"
+
+
 class LinkTimeoutError(LinkError):
     """The other side did not reply in time; the call may have run."""
 
--- a/lagoonbeam/scheduler/message_handlers.py
+++ b/lagoonbeam/scheduler/message_handlers.py
@@ -45,6 +45,9 @@
 if TYPE_CHECKING:
     from lagoonbeam.scheduler.process import SchedulerProcess
 
+MAX_WAIT_S = 10.0
+"""Longest wait of a call; entries ask for shorter ones, and ask again."""
+
 
 @singledispatch
 async def handle_message(
@@ -85,7 +88,8 @@
 
 @handle_message.register(WaitJob)
 async def _(message: WaitJob, process: SchedulerProcess) -> Message:
-    return await process.job_registry.wait_job(message.job_id, message.wait_s)
+    wait_s = min(message.wait_s, MAX_WAIT_S)
+    return await process.job_registry.wait_job(message.job_id, wait_s)
 
 
 @handle_message.register(CancelJob)
--- a/lagoonbeam/scheduler/peer_links.py
+++ b/lagoonbeam/scheduler/peer_links.py
@@ -35,6 +35,8 @@
 as silent."""
 MAX_RELAY_ENTRIES = 1_000
 """Number of recent log entries kept for peers that cannot reach the log."""
+RELAYED_BYTES = 1 << 20
+"""Data of the log entries that are relayed in one message, or a little more."""
 FETCH_STATE_TIMEOUT_S = 10.0
 """Timeout of fetching a peer's state."""
 
@@ -290,8 +292,8 @@
         ):
             return
         entries = [e for e in self._recent_entries if e.offset >= next_offset]
-        if entries:
-            await link.notify(RelayEntries(entries))
+        for part in _split_entries(entries):
+            await link.notify(RelayEntries(part))
 
     async def _fetch_state_if_lagging(
         self, link: Link, reply: Heartbeat
@@ -324,6 +326,20 @@
             self._log_client.notify_waiters()
 
 
+def _split_entries(entries: Iterable[LogEntry]) -> Iterator[list[LogEntry]]:
+    """Splits log entries into parts of about `RELAYED_BYTES`."""
+    part: list[LogEntry] = []
+    size_bytes = 0
+    for entry in entries:
+        part.append(entry)
+        size_bytes += len(entry.data)
+        if size_bytes >= RELAYED_BYTES:
+            yield part
+            part, size_bytes = [], 0
+    if part:
+        yield part
+
+
 async def _send_notice(link: Link, message: Message) -> None:
     try:
         await link.notify(message)
--- a/lagoonbeam/scheduler/process.py
+++ b/lagoonbeam/scheduler/process.py
@@ -13,7 +13,6 @@
 from lagoonbeam.core.events import EventLog
 from lagoonbeam.core.fault_points import FaultPoints
 from lagoonbeam.core.jobs import Job, JobStatus
-from lagoonbeam.core.link import Link
 from lagoonbeam.core.messages import (
     FinishNotice,
     Heartbeat,
@@ -42,6 +41,7 @@
 from lagoonbeam.scheduler.job_acceptor import JobAcceptor
 from lagoonbeam.scheduler.job_registry import JobRegistry
 from lagoonbeam.scheduler.leader_election import LeaderElection
+from lagoonbeam.scheduler.link_listener import make_link_server
 from lagoonbeam.scheduler.log_client import LogClient
 from lagoonbeam.scheduler.maintenance import PeriodicMaintenance
 from lagoonbeam.scheduler.message_handlers import handle_message
@@ -109,6 +109,12 @@
             enqueue=self.enqueue,
             append_timeout_s=settings.append_timeout_s,
         )
+        self._link_server = make_link_server(
+            settings,
+            self.handle_call,
+            events=self.events,
+            metrics=self.metrics,
+        )
         self.zone: ZoneScheduler | None = None
         self.draining = False
         self._open_call_count = 0
@@ -155,10 +161,9 @@
         """Starts all components."""
         self._tasks = tasks
         settings = self.settings
-        listener = await anyio.create_tcp_listener(
-            local_host=settings.listen.host, local_port=settings.listen.port
+        await tasks.start(
+            self._link_server.serve, settings.listen.host, settings.listen.port
         )
-        tasks.start_soon(listener.serve, self._serve_stream)
         await self.log_client.start(tasks)
         await self.peers.start(tasks)
         self.peers.set_addresses(
@@ -316,10 +321,6 @@
 
     # Callbacks and tasks
 
-    async def _serve_stream(self, stream: anyio.abc.SocketStream) -> None:
-        link = Link(stream, clock=self.events.clock, handler=self.handle_call)
-        await link.run()
-
     def _announce_status(self, status: JobStatus) -> None:
         self.job_registry.record_announced_status(status)
         self.peers.broadcast(FinishNotice(status))
