--- a/lagoonbeam/core/http_request_reader.py
+++ b/lagoonbeam/core/http_request_reader.py
@@ -120,6 +120,11 @@
         """Whether a part of a request has been received."""
         return self._is_reading and self._meter.has_begun
 
+    @property
+    def has_unparsed_data(self) -> bool:
+        """Whether data of a further request has been received."""
+        return bool(self._chunk)
+
     def set_limits(self, limits: ServerLimits) -> None:
         """Changes the limits, also of the request that is being received."""
         self._limits = limits
--- a/lagoonbeam/core/http_server.py
+++ b/lagoonbeam/core/http_server.py
@@ -115,7 +115,8 @@
         self._budget = budget or RequestBudget()
         self._share = share
         self._buffers = buffers
-        self._buffer_bytes = buffers.memory_bytes if buffers else 0
+        if buffers is not None:
+            self._budget.reserve_buffers(share, buffers.memory_bytes)
         self._check_head = check_head
         self._make_refusal = make_refusal
         self._accept_scope = anyio.CancelScope()
@@ -169,7 +170,6 @@
                         self._budget,
                         self._share,
                         start_connection,
-                        buffer_bytes=self._buffer_bytes,
                     )
 
     def stop_accepting(self) -> None:
@@ -213,7 +213,10 @@
                 while not account.is_closed and await self._serve_request(
                     connection, account, reader
                 ):
-                    account.mark_idle()
+                    if reader.has_unparsed_data:
+                        account.mark_progress()
+                    else:
+                        account.mark_idle()
                     await anyio.lowlevel.checkpoint()
             if scope.cancelled_caught and reader.is_receiving:
                 connection.send_last(self._encode_refusal(503))
--- a/lagoonbeam/core/link_server.py
+++ b/lagoonbeam/core/link_server.py
@@ -94,6 +94,7 @@
         self._budget = budget
         self._pool = CallPool(max_call_bytes, budget.monitor)
         self._buffers = buffers
+        budget.reserve_buffers(Share.CALLERS, buffers.memory_bytes)
 
     async def serve(
         self,
@@ -129,7 +130,6 @@
                 self._budget,
                 Share.CALLERS,
                 start_link,
-                buffer_bytes=self._buffers.memory_bytes,
             )
 
     async def _serve_link(
--- a/lagoonbeam/core/request_budget/budget.py
+++ b/lagoonbeam/core/request_budget/budget.py
@@ -6,7 +6,7 @@
 import math
 from collections import OrderedDict
 from collections.abc import Callable, Mapping
-from itertools import chain
+from itertools import chain, islice
 
 import anyio
 
@@ -18,12 +18,15 @@
 BYTES_PER_MB = 1 << 20
 RESERVED_DESCRIPTORS = 200
 """Descriptors of a machine that are no sockets."""
-FIRST_REQUEST_GRACE_S = 1.0
-"""Time that a new connection has for its first request before it gives way to
-others."""
+STALLED_S = 1.0
+"""Time without progress after which a connection without a request, or during
+one, gives way before idle ones that have had requests."""
 MAX_FRESH_FRACTION = 0.5
 """The part of the connections that may be without a first request for that
 time."""
+MAX_CONNECTION_MEMORY_FRACTION = 0.75
+"""The part of the memory that connections may take without any request, so that
+new connections do not displace requests."""
 MAX_ROOM_WAIT_S = 0.5
 """Longest wait for room before new connections are refused."""
 DEFAULT_MEMORY_MB = 300
@@ -48,6 +51,9 @@
     """What the clients of one share hold.
 
     Attributes:
+        max_bytes: Memory that all connections may hold.
+        max_connections: Number of connections that may be open.
+        connection_bytes: Memory of a connection beside its requests.
         held_bytes: Memory held by all connections.
         connection_count: Number of open connections.
         fresh: Connections that have not sent a whole request yet, the longest
@@ -60,6 +66,7 @@
     def __init__(self, max_bytes: int, max_connections: int):
         self.max_bytes = max_bytes
         self.max_connections = max_connections
+        self.connection_bytes = CONNECTION_BYTES
         self.held_bytes = 0
         self.connection_count = 0
         self.fresh: OrderedDict[ConnectionAccount, None] = OrderedDict()
@@ -75,20 +82,36 @@
             self.fresh or self.idle or self.waiting
         )
 
-    def find_most_dispensable(self) -> ConnectionAccount | None:
+    def find_to_close(
+        self, *, for_memory: bool, spared: ConnectionAccount | None = None
+    ) -> ConnectionAccount | None:
         """Returns the connection to close for another one, if there is any.
 
-        Connections that send no request come first. They need a moment for it,
-        or new connections would close each other.
+        For memory, requests come first, as other connections hold little. For a
+        connection, those come first that make no progress. New connections need
+        a moment for their first request, or they would close each other.
+
+        Args:
+            for_memory: Whether memory is missing rather than a connection.
+            spared: A connection that stays.
         """
-        oldest = next(iter(self.fresh), None)
-        if oldest is not None and (
-            anyio.current_time() - oldest.opened_at_s >= FIRST_REQUEST_GRACE_S
-            or len(self.fresh) > MAX_FRESH_FRACTION * self.max_connections
-        ):
-            return oldest
-        queues = chain(self.idle, self.waiting, self.fresh)
-        return next(queues, None)
+        stalled_since_s = anyio.current_time() - STALLED_S
+        is_flooded = len(self.fresh) > MAX_FRESH_FRACTION * self.max_connections
+        silent = [
+            account
+            for account in islice(self.fresh, 1)
+            if is_flooded or account.progressed_at_s <= stalled_since_s
+        ]
+        stalled = [
+            account
+            for account in islice(self.waiting, 1)
+            if account.progressed_at_s <= stalled_since_s
+        ]
+        if for_memory:
+            queues = chain(self.waiting, silent, self.idle, self.fresh)
+        else:
+            queues = chain(silent, stalled, self.idle, self.waiting, self.fresh)
+        return next((each for each in queues if each is not spared), None)
 
     def notify_room(self) -> None:
         """Wakes the task that waits for room."""
@@ -114,24 +137,21 @@
     Args:
         part: The part of the budget that it belongs to.
         monitor: Records the limits that are met.
-        connection_bytes: Memory of the connection beside its requests.
 
     Attributes:
         on_evict: Called to drop what the connection holds, and to end it.
-        opened_at_s: When the connection was opened.
+        progressed_at_s: When the connection was opened, or has last made
+            progress during a request.
         is_closed: Whether it holds nothing any more.
     """
 
-    def __init__(
-        self, part: _Part, monitor: LimitMonitor, connection_bytes: int
-    ):
+    def __init__(self, part: _Part, monitor: LimitMonitor):
         self._part = part
         self._monitor = monitor
-        self._connection_bytes = connection_bytes
         self.on_evict: Callable[[], None] = lambda: None
         self._held_bytes = 0
         self._has_been_served = False
-        self.opened_at_s = anyio.current_time()
+        self.progressed_at_s = anyio.current_time()
         self.is_closed = False
         part.connection_count += 1
         self.mark_idle()
@@ -150,6 +170,7 @@
     def mark_progress(self) -> None:
         """Records that the client has sent or read a part of its request."""
         self._leave_queues()
+        self.progressed_at_s = anyio.current_time()
         if not self.is_closed:
             self._part.waiting[self] = None
             self._part.notify_room()
@@ -170,7 +191,7 @@
         if self.is_closed:
             return False
         part = self._part
-        added_bytes = self._connection_bytes + request_bytes - self._held_bytes
+        added_bytes = part.connection_bytes + request_bytes - self._held_bytes
         if not self._can_make_room(added_bytes):
             self._monitor.record(Limit.MEMORY)
             return False
@@ -179,8 +200,10 @@
             and part.connection_count > 1
         ):
             self._monitor.record(Limit.MEMORY)
-            if not evict_longest_waiting(part, spared=self):
+            other = part.find_to_close(for_memory=True, spared=self)
+            if other is None:
                 return False
+            other.evict()
         part.held_bytes += added_bytes
         self._held_bytes += added_bytes
         return True
@@ -223,25 +246,6 @@
         self._part.waiting.pop(self, None)
 
 
-def evict_longest_waiting(
-    part: _Part, *, spared: ConnectionAccount | None = None
-) -> bool:
-    """Closes the connection that waits for its client for longest.
-
-    Connections during a request come before those without one, which hold
-    little.
-
-    Returns:
-        Whether there was one.
-    """
-    for queue in (part.waiting, part.fresh, part.idle):
-        for account in queue:
-            if account is not spared:
-                account.evict()
-                return True
-    return False
-
-
 class RequestBudget:
     """Bounds the memory and connections that clients hold of a process.
 
@@ -324,9 +328,25 @@
         self.monitor.record(Limit.DESCRIPTORS)
         self._close_connection(self._parts[share])
 
-    def open_connection(
-        self, share: Share, *, buffer_bytes: int = 0
-    ) -> ConnectionAccount | None:
+    def reserve_buffers(self, share: Share, buffer_bytes: int) -> None:
+        """Counts what the kernel may hold of each connection from now on.
+
+        Open connections are fewer than the descriptors allow if they would take
+        more than `MAX_CONNECTION_MEMORY_FRACTION` of the memory.
+
+        Args:
+            share: The kind of client.
+            buffer_bytes: Memory that the kernel may take for a connection.
+        """
+        part = self._parts[share]
+        part.connection_bytes = CONNECTION_BYTES + buffer_bytes
+        memory_bytes = MAX_CONNECTION_MEMORY_FRACTION * part.max_bytes
+        part.max_connections = min(
+            part.max_connections,
+            max(1, int(memory_bytes / part.connection_bytes)),
+        )
+
+    def open_connection(self, share: Share) -> ConnectionAccount | None:
         """Returns the account of a new connection, or None without room.
 
         Connections that have sent no request are closed first, then those that
@@ -334,16 +354,13 @@
 
         Args:
             share: The kind of client.
-            buffer_bytes: Memory that the kernel may take for the connection.
         """
         part = self._parts[share]
         while part.connection_count >= part.max_connections:
             self.monitor.record(Limit.CONNECTIONS)
             if not self._close_connection(part):
                 return None
-        account = ConnectionAccount(
-            part, self.monitor, CONNECTION_BYTES + buffer_bytes
-        )
+        account = ConnectionAccount(part, self.monitor)
         if account.hold(0):
             return account
         account.close()
@@ -352,7 +369,7 @@
     @staticmethod
     def _close_connection(part: _Part) -> bool:
         """Closes a connection for another; returns whether there is one."""
-        account = part.find_most_dispensable()
+        account = part.find_to_close(for_memory=False)
         if account is None:
             return False
         account.evict()
--- a/lagoonbeam/core/tcp_connection.py
+++ b/lagoonbeam/core/tcp_connection.py
@@ -170,8 +170,6 @@
     budget: RequestBudget,
     share: Share,
     on_connection: Callable[[TcpConnection, ConnectionAccount | None], None],
-    *,
-    buffer_bytes: int = 0,
 ) -> None:
     """Accepts connections within a budget until cancelled.
 
@@ -183,7 +181,6 @@
         share: The kind of client.
         on_connection: Called with each connection and its account, which is
             None if there is no room for it.
-        buffer_bytes: Memory that the kernel may take for a connection.
     """
     while True:
         await anyio.wait_readable(listening_socket)
@@ -191,10 +188,7 @@
         try:
             for _ in range(ACCEPT_BATCH):
                 connection = TcpConnection(listening_socket.accept()[0])
-                account = budget.open_connection(
-                    share, buffer_bytes=buffer_bytes
-                )
-                on_connection(connection, account)
+                on_connection(connection, budget.open_connection(share))
                 if not budget.has_room(share):
                     break
         except (BlockingIOError, ConnectionError):
--- a/tests/test_connection_room.py
+++ b/tests/test_connection_room.py
@@ -13,6 +13,7 @@
 from lagoonbeam.entry.problems import make_refusal
 from tests.test_request_budget import (
     HOST,
+    KB,
     CountingHandler,
     EvictionRecord,
     make_budget,
@@ -153,6 +154,21 @@
     run_with_entry_server(RequestBudget(), scenario)
 
 
+def test_connections_with_kernel_buffers_displace_no_request() -> None:
+    """Load: silent connections beside a body that is being received."""
+
+    async def test() -> None:
+        record = EvictionRecord(make_budget(1_000, callers=100))
+        record.budget.reserve_buffers(Share.CALLERS, 64 * KB)
+        record.open_receiving("body", 200 * KB)
+        for number in range(100):
+            record.open(str(number))
+        assert "body" not in record.evicted
+        assert record.budget.held_bytes <= 1_000 * KB
+
+    run(test)
+
+
 def test_share_of_other_clients_has_room() -> None:
     async def test() -> None:
         budget = make_budget(10_000, callers=1)
