--- a/lagoonbeam/core/http_request_reader.py
+++ b/lagoonbeam/core/http_request_reader.py
@@ -6,6 +6,7 @@
 import time
 from collections import deque
 from collections.abc import Callable
+from contextlib import AbstractContextManager
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -38,6 +39,7 @@
         refusal: The response if it is refused by its head; its body is dropped.
         is_complete: Whether its body has arrived; otherwise no further request
             can be read.
+        account: What its connection holds of the server, if it has one.
     """
 
     method: str = ""
@@ -47,6 +49,21 @@
     received_at_s: float = 0.0
     refusal: Response | None = None
     is_complete: bool = False
+    account: ConnectionAccount | None = None
+
+    def move_on_after(
+        self, delay_s: float
+    ) -> AbstractContextManager[anyio.CancelScope]:
+        """Bounds a wait of the request's handler; see `anyio.move_on_after`.
+
+        The wait ends early if other clients need the connection.
+
+        Args:
+            delay_s: Longest wait.
+        """
+        if self.account is None:
+            return anyio.move_on_after(delay_s)
+        return self.account.move_on_after(delay_s)
 
 
 HeadChecker = Callable[[Request], Response | None]
--- a/lagoonbeam/core/http_server.py
+++ b/lagoonbeam/core/http_server.py
@@ -255,6 +255,7 @@
                 self._budget.monitor.record(_LIMITS_BY_STATUS[status])
             connection.send_last(self._encode_refusal(status))
             return False
+        request.account = account
         account.mark_served()
         self.open_requests += 1
         try:
--- a/lagoonbeam/core/link.py
+++ b/lagoonbeam/core/link.py
@@ -241,7 +241,8 @@
     async def _send_data(self, data: bytes) -> None:
         if self.closed:
             raise LinkClosedError("the connection is closed")
-        with anyio.move_on_after(SEND_TIMEOUT_S) as scope:
+        # A frame that is sent in part would leave the link unusable.
+        with anyio.move_on_after(SEND_TIMEOUT_S, shield=True) as scope:
             try:
                 async with self._send_lock:
                     await self._stream.send(
--- a/lagoonbeam/core/request_budget/budget.py
+++ b/lagoonbeam/core/request_budget/budget.py
@@ -2,33 +2,24 @@
 
 from __future__ import annotations
 
+import contextlib
 import enum
-import math
-from collections import OrderedDict
-from collections.abc import Callable, Mapping
-from itertools import chain, islice
+from collections.abc import Callable, Iterator, Mapping
+from itertools import chain
 
 import anyio
 
 from lagoonbeam.core.request_budget.limit_monitor import Limit, LimitMonitor
+from lagoonbeam.core.request_budget.part import (
+    CONNECTION_BYTES,
+    MAX_CONNECTION_MEMORY_FRACTION,
+    Part,
+)
 from lagoonbeam.core.request_budget.settings import RequestLimitSettings
 
-CONNECTION_BYTES = 8_192
-"""Memory of an open connection beside its requests and kernel buffers."""
 BYTES_PER_MB = 1 << 20
 RESERVED_DESCRIPTORS = 200
 """Descriptors of a machine that are no sockets."""
-STALLED_S = 1.0
-"""Time without progress after which a connection without a request, or during
-one, gives way before idle ones that have had requests."""
-MAX_FRESH_FRACTION = 0.5
-"""The part of the connections that may be without a first request for that
-time."""
-MAX_CONNECTION_MEMORY_FRACTION = 0.75
-"""The part of the memory that connections may take without any request, so that
-new connections do not displace requests."""
-MAX_ROOM_WAIT_S = 0.5
-"""Longest wait for room before new connections are refused."""
 DEFAULT_MEMORY_MB = 300
 DEFAULT_DESCRIPTORS = 4_100
 
@@ -47,90 +38,6 @@
 DEFAULT_SHARES = {share: share.value for share in Share}
 
 
-class _Part:
-    """What the clients of one share hold.
-
-    Attributes:
-        max_bytes: Memory that all connections may hold.
-        max_connections: Number of connections that may be open.
-        connection_bytes: Memory of a connection beside its requests.
-        held_bytes: Memory held by all connections.
-        connection_count: Number of open connections.
-        fresh: Connections that have not sent a whole request yet, the longest
-            idle first.
-        idle: Connections without a request, the longest idle first.
-        waiting: Connections that wait for their client during a request, the
-            one that has been without progress for longest first.
-    """
-
-    def __init__(self, max_bytes: int, max_connections: int):
-        self.max_bytes = max_bytes
-        self.max_connections = max_connections
-        self.connection_bytes = CONNECTION_BYTES
-        self.held_bytes = 0
-        self.connection_count = 0
-        self.fresh: OrderedDict[ConnectionAccount, None] = OrderedDict()
-        self.idle: OrderedDict[ConnectionAccount, None] = OrderedDict()
-        self.waiting: OrderedDict[ConnectionAccount, None] = OrderedDict()
-        self._full_since_s = math.inf
-        self._room_found = anyio.Event()
-
-    @property
-    def has_room(self) -> bool:
-        """Whether a connection can be opened, possibly in place of another."""
-        return self.connection_count < self.max_connections or bool(
-            self.fresh or self.idle or self.waiting
-        )
-
-    def find_to_close(
-        self, *, for_memory: bool, spared: ConnectionAccount | None = None
-    ) -> ConnectionAccount | None:
-        """Returns the connection to close for another one, if there is any.
-
-        For memory, requests come first, as other connections hold little. For a
-        connection, those come first that make no progress. New connections need
-        a moment for their first request, or they would close each other.
-
-        Args:
-            for_memory: Whether memory is missing rather than a connection.
-            spared: A connection that stays.
-        """
-        stalled_since_s = anyio.current_time() - STALLED_S
-        is_flooded = len(self.fresh) > MAX_FRESH_FRACTION * self.max_connections
-        silent = [
-            account
-            for account in islice(self.fresh, 1)
-            if is_flooded or account.progressed_at_s <= stalled_since_s
-        ]
-        stalled = [
-            account
-            for account in islice(self.waiting, 1)
-            if account.progressed_at_s <= stalled_since_s
-        ]
-        if for_memory:
-            queues = chain(self.waiting, silent, self.idle, self.fresh)
-        else:
-            queues = chain(silent, stalled, self.idle, self.waiting, self.fresh)
-        return next((each for each in queues if each is not spared), None)
-
-    def notify_room(self) -> None:
-        """Wakes the task that waits for room."""
-        self._room_found.set()
-
-    async def wait_for_room(self) -> None:
-        """Waits until there is room, or there has been none for too long."""
-        while not self.has_room:
-            now_s = anyio.current_time()
-            self._full_since_s = min(self._full_since_s, now_s)
-            deadline_s = self._full_since_s + MAX_ROOM_WAIT_S
-            if now_s >= deadline_s:
-                return
-            self._room_found = anyio.Event()
-            with anyio.CancelScope(deadline=deadline_s):
-                await self._room_found.wait()
-        self._full_since_s = math.inf
-
-
 class ConnectionAccount:
     """What one connection holds.
 
@@ -145,7 +52,7 @@
         is_closed: Whether it holds nothing any more.
     """
 
-    def __init__(self, part: _Part, monitor: LimitMonitor):
+    def __init__(self, part: Part, monitor: LimitMonitor):
         self._part = part
         self._monitor = monitor
         self.on_evict: Callable[[], None] = lambda: None
@@ -180,6 +87,22 @@
         self._has_been_served = True
         self._leave_queues()
 
+    @contextlib.contextmanager
+    def move_on_after(self, delay_s: float) -> Iterator[anyio.CancelScope]:
+        """Bounds a wait of a request that is being handled.
+
+        The wait ends early if no connection can be opened otherwise.
+
+        Args:
+            delay_s: Longest wait.
+        """
+        with anyio.move_on_after(delay_s) as scope:
+            self._part.waits[scope] = None
+            try:
+                yield scope
+            finally:
+                self._part.waits.pop(scope, None)
+
     def hold(self, request_bytes: int) -> bool:
         """Sets the memory that the connection's requests take.
 
@@ -280,7 +203,7 @@
             0, (descriptors or DEFAULT_DESCRIPTORS) - reserved_descriptors
         )
         self._parts = {
-            share: _Part(
+            share: Part(
                 int(memory_bytes * fraction),
                 max(1, int(connections * fraction)),
             )
@@ -367,7 +290,7 @@
         return None
 
     @staticmethod
-    def _close_connection(part: _Part) -> bool:
+    def _close_connection(part: Part) -> bool:
         """Closes a connection for another; returns whether there is one."""
         account = part.find_to_close(for_memory=False)
         if account is None:
--- a/lagoonbeam/entry/application.py
+++ b/lagoonbeam/entry/application.py
@@ -4,7 +4,7 @@
 
 import math
 import time
-from collections.abc import Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable
 from typing import Any
 
 import anyio
@@ -40,6 +40,7 @@
     require_operator,
     require_organisation,
 )
+from lagoonbeam.entry.asgi import SERVER_REQUEST
 from lagoonbeam.entry.problems import (
     make_problem_response,
     make_server_response,
@@ -188,7 +189,7 @@
             return make_problem_response(error, job_id=job.job_id)
         status = expect_reply(reply, JobStatus)
         if wait_s and not status.outcome:
-            status = await self._wait_for_outcome(status, wait_s)
+            status = await self._wait_for_outcome(request, status, wait_s)
         return self._make_submit_response(status, job)
 
     async def _get_job(self, request: Request, token: AccessToken) -> Response:
@@ -196,7 +197,7 @@
         job_id = request.path_params["job_id"]
         status = await self._get_visible_job(job_id, token)
         if wait_s and not status.outcome:
-            status = await self._wait_for_outcome(status, wait_s)
+            status = await self._wait_for_outcome(request, status, wait_s)
         return make_json_response(status)
 
     async def _cancel_job(
@@ -241,9 +242,24 @@
         return status
 
     async def _wait_for_outcome(
-        self, status: JobStatus, wait_s: float
+        self, request: Request, status: JobStatus, wait_s: float
     ) -> JobStatus:
-        """Waits for a job's outcome, from whichever scheduler reports it."""
+        """Waits for a job's outcome, from whichever scheduler reports it.
+
+        The wait ends early if other callers need the connection.
+        """
+        server_request: http_server.Request = request.scope["extensions"][
+            SERVER_REQUEST
+        ]
+        with server_request.move_on_after(wait_s):
+            async for new_status in self._poll_status(status, wait_s):
+                status = new_status
+        return status
+
+    async def _poll_status(
+        self, status: JobStatus, wait_s: float
+    ) -> AsyncIterator[JobStatus]:
+        """Yields a job's status from call to call, up to its outcome."""
         deadline_s = time.monotonic() + wait_s
         while not status.outcome:
             wait_end_s = min(deadline_s, self._drain_deadline_s)
@@ -257,9 +273,9 @@
                     timeout_s=call_wait_s + CALL_TIMEOUT_S,
                 )
                 status = expect_reply(reply, JobStatus)
+                yield status
             except (UnavailableError, UnknownJobError):
                 await anyio.sleep(WAIT_RETRY_INTERVAL_S)
-        return status
 
     def _make_submit_response(self, status: JobStatus, job: Job) -> Response:
         self._events.emit(
--- a/lagoonbeam/entry/asgi.py
+++ b/lagoonbeam/entry/asgi.py
@@ -11,6 +11,8 @@
 from lagoonbeam.core.http_client import Response
 from lagoonbeam.core.http_server import Request
 
+SERVER_REQUEST = "lagoonbeam.request"
+"""Name of the extension of the scope that holds the server's request."""
 _SERVER_HEADERS = frozenset({b"content-length", b"connection"})
 """Header fields of a response that the server writes itself."""
 
@@ -78,5 +80,6 @@
         "query_string": query.encode("latin-1"),
         "root_path": "",
         "headers": headers,
+        "extensions": {SERVER_REQUEST: request},
     }
     return scope
--- a/lagoonbeam/site/job_api.py
+++ b/lagoonbeam/site/job_api.py
@@ -12,7 +12,6 @@
 from dataclasses import dataclass, field
 from urllib.parse import parse_qs
 
-import anyio
 import msgspec
 
 from lagoonbeam.core.http_client import Response
@@ -184,21 +183,19 @@
                 request, error, job_request.job_id
             )
         _check_same_request(entry, job_request)
-        return await self._wait_and_report(entry, wait_s)
+        return await self._wait_and_report(request, entry, wait_s)
 
     async def _get_job(self, request: Request, job_id: str) -> Response:
         wait_s = _parse_query_number(request, "wait_s", 0.0, MAX_WAIT_S)
-        return await self._wait_and_report(
-            await self._get_visible_job(request, job_id), wait_s
-        )
+        entry = await self._get_visible_job(request, job_id)
+        return await self._wait_and_report(request, entry, wait_s)
 
     async def _cancel_job(self, request: Request, job_id: str) -> Response:
         await self._get_visible_job(request, job_id)
         await self._service.cancel(job_id, timeout_s=SUBMIT_TIMEOUT_S)
         await self._service.catch_up()
-        return await self._wait_and_report(
-            await self._service.get_job(job_id), 0.0
-        )
+        entry = await self._service.get_job(job_id)
+        return await self._wait_and_report(request, entry, 0.0)
 
     async def _list_jobs(self, request: Request, _: str) -> Response:
         organisation = self._authenticate(request)
@@ -225,11 +222,14 @@
             raise UnknownJobError(f"job {job_id!r} is not known")
         return entry
 
-    async def _wait_and_report(self, entry: SiteJob, wait_s: float) -> Response:
+    async def _wait_and_report(
+        self, request: Request, entry: SiteJob, wait_s: float
+    ) -> Response:
+        """Waits for a job's outcome; less if others need the connection."""
         job_id = entry.request.job_id
         deadline_s = time.monotonic() + wait_s
         while entry.is_open and not self._service.is_draining:
-            with anyio.move_on_after(deadline_s - time.monotonic()) as scope:
+            with request.move_on_after(deadline_s - time.monotonic()) as scope:
                 await self._service.wait_for_change()
             if scope.cancelled_caught:
                 break
--- a/tests/test_connection_room.py
+++ b/tests/test_connection_room.py
@@ -87,6 +87,32 @@
     assert response.status == 200
 
 
+def test_wait_of_a_request_ends_for_another_connection() -> None:
+    """Load: callers that wait for their jobs use up all connections."""
+
+    async def main() -> None:
+        async def answer(request: Request) -> Response:
+            if request.target != "/wait":
+                return Response(200)
+            with request.move_on_after(20) as scope:
+                await anyio.sleep_forever()
+            return Response(202 if scope.cancelled_caught else 500)
+
+        server = HttpServer(answer, budget=make_budget(10_000, callers=1))
+        async with anyio.create_task_group() as tasks:
+            port = await tasks.start(server.serve, HOST, 0)
+            with anyio.fail_after(10):
+                async with await anyio.connect_tcp(HOST, port) as waiting:
+                    await waiting.send(b"GET /wait HTTP/1.1\r\n\r\n")
+                    await anyio.wait_all_tasks_blocked()
+                    await call_successfully(port)
+                    received = await receive_all(waiting)
+                    assert received.startswith(b"HTTP/1.1 202 ")
+            tasks.cancel_scope.cancel()
+
+    anyio.run(main)
+
+
 def test_connection_without_room_is_refused_as_not_run() -> None:
     """Load: callers that wait for their jobs use up all connections."""
 
--- a/tests/test_uncontrolled_clients.py
+++ b/tests/test_uncontrolled_clients.py
@@ -22,6 +22,7 @@
     Crowd,
     is_open,
     make_chunks,
+    send_at_once,
     split,
 )
 from harness.site import (
@@ -113,6 +114,12 @@
 
 def check_instance(site: Site, crowd: Crowd) -> None:
     """Checks the process's bounds and that an ordinary caller is served."""
+    check_front(site, crowd)
+    site.wait_for_state(site.submit_job([make_step()]))
+
+
+def check_front(site: Site, crowd: Crowd) -> None:
+    """Checks them by requests that need no worker."""
     served = call_front(site)
     readiness = httpx.get(
         f"http://{site.get_host('n0')}:{site.ready_port}/ready",
@@ -127,7 +134,6 @@
     assert readiness.status_code == 200
     assert peak_memory_mb < MEMORY_MB
     assert crowd.peak_socket_count < MAX_DESCRIPTORS - RESERVED_DESCRIPTORS
-    site.wait_for_state(site.submit_job([make_step()]))
 
 
 def make_endless_line() -> tuple[bytes, bytes]:
@@ -245,6 +251,22 @@
     check_instance(site, crowd)
 
 
+def test_waiting_requests_leave_room_for_callers(
+    site: Site, crowd: Crowd
+) -> None:
+    """Callers with a key wait at the job API for a job that does not end."""
+    path = site.submit_job([make_step()], spec={"run_s": 3_600.0})
+    job_id = path.removeprefix(PATH_PREFIXES[1])
+    head = f"GET /v1/jobs/{job_id}?wait_s=60 HTTP/1.1\r\n"
+    wait = f"{head}Authorization: Bearer {API_KEY}\r\n\r\n".encode()
+    crowd.address = (site.get_host("n0"), site.metrics_port)
+    for _ in range(CROWD_SIZE):
+        crowd.connect(1)
+        send_at_once(crowd.sockets[-1], wait)
+    check_front(site, crowd)
+    site.call_front("DELETE", path)
+
+
 def test_unfinished_relayed_calls_leave_room_for_callers(
     site: Site, crowd: Crowd
 ) -> None:
--- a/tests/test_uncontrolled_clients_zones.py
+++ b/tests/test_uncontrolled_clients_zones.py
@@ -227,6 +227,27 @@
     check_entry(cluster, crowd)
 
 
+def test_waiting_requests_leave_room_for_callers(
+    cluster: Cluster, crowd: Crowd
+) -> None:
+    """Callers with a token wait for a job that does not end."""
+    accepted = cluster.call_entry(
+        "POST",
+        "/v1/jobs",
+        token="token-armor",
+        json=make_job_body(run_s=3_600.0),
+    )
+    path = f"/v1/jobs/{accepted.json()['job_id']}"
+    wait = make_head().replace(
+        b"POST /v1/jobs", f"GET {path}?wait_s=3600".encode()
+    )
+    for _ in range(CROWD_SIZE):
+        crowd.connect(1)
+        send_at_once(crowd.sockets[-1], wait)
+    check_entry(cluster, crowd)
+    cluster.call_entry("DELETE", path, token="token-armor")
+
+
 @pytest.mark.parametrize("chunk_bytes", [0, 1, 65_536])
 def test_single_body_of_the_largest_size_is_accepted(
     cluster: Cluster, crowd: Crowd, chunk_bytes: int
