--- a/tests/adapters/test_store_reads.py
+++ b/tests/adapters/test_store_reads.py
@@ -18,6 +18,8 @@
 from lagoonbeam.core.clock import read_boot_time_s
 from lagoonbeam.core.http_client import Response
 from lagoonbeam.core.http_server import HttpServer, Request
+from lagoonbeam.core.request_budget import ConnectionAccount
+from lagoonbeam.core.tcp_connection import TcpConnection
 from lagoonbeam.errors import LagoonbeamError
 from lagoonbeam.site.decision_log import DecisionLog
 from lagoonbeam.site.relay import PeerRelays, RelayedCall, serve_relay
@@ -66,9 +68,11 @@
         """Answers nothing more on the connections that are open now."""
         self._silenced_connections += 1
 
-    async def _serve_connection(self, stream: anyio.abc.SocketStream) -> None:
+    async def _serve_connection(
+        self, connection: TcpConnection, account: ConnectionAccount
+    ) -> None:
         _opened_silent.set(self._silenced_connections)
-        await super()._serve_connection(stream)
+        await super()._serve_connection(connection, account)
 
     async def _answer(self, request: Request) -> Response:
         response = await self._answer_request(request)
