--- a/lagoonbeam/commands/entry.py
+++ b/lagoonbeam/commands/entry.py
@@ -6,9 +6,11 @@
 from typing import Annotated
 
 import anyio
+import anyio.abc
 import typer
 
 from lagoonbeam.commands.program_lifecycle import (
+    block_drain_signals,
     drain_on_signal,
     load_settings_or_exit,
 )
@@ -52,6 +54,7 @@
         instance=entry_settings.instance,
         availability_zone=entry_settings.availability_zone,
     )
+    block_drain_signals()
     try:
         anyio.run(_run_entry, entry_settings)
     except SettingsError as error:
@@ -111,9 +114,13 @@
     async with anyio.create_task_group() as task_group:
         await scheduler_client.start(task_group)
         events.emit("entry.started")
-        task_group.start_soon(drain_on_signal, drain)
         task_group.start_soon(budget.monitor.run)
-        await _serve_http(server, settings, shutdown_requested)
+        async with anyio.create_task_group() as serving_tasks:
+            # Listening starts a thread, which has to inherit blocked signals.
+            await serving_tasks.start(
+                _serve_http, server, settings, shutdown_requested
+            )
+            task_group.start_soon(drain_on_signal, drain)
         await scheduler_client.close()
         metrics.close()
         task_group.cancel_scope.cancel()
@@ -124,12 +131,15 @@
     server: HttpServer,
     settings: EntrySettings,
     shutdown_requested: anyio.Event,
+    *,
+    task_status: anyio.abc.TaskStatus[None] = anyio.TASK_STATUS_IGNORED,
 ) -> None:
     """Serves until a shutdown is requested, then finishes open requests."""
     async with anyio.create_task_group() as task_group:
         await task_group.start(
             server.serve, settings.listen.host, settings.listen.port
         )
+        task_status.started()
         await shutdown_requested.wait()
         server.stop_accepting()
         server.drain()
--- a/lagoonbeam/commands/program_lifecycle.py
+++ b/lagoonbeam/commands/program_lifecycle.py
@@ -18,6 +18,7 @@
 EXIT_FAILED = 1
 EXIT_USAGE = 2
 EXIT_UNREACHABLE = 3
+DRAIN_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 
 SettingsT = TypeVar("SettingsT", bound=Settings)
 
@@ -31,6 +32,16 @@
         raise typer.Exit(EXIT_USAGE) from error
 
 
+def block_drain_signals() -> None:
+    """Blocks the signals that drain the program until `drain_on_signal`.
+
+    Threads that start meanwhile inherit this, so that the signals reach the
+    main thread only, where `receive_signals` blocks them while it changes
+    handlers.
+    """
+    signal.pthread_sigmask(signal.SIG_BLOCK, DRAIN_SIGNALS)
+
+
 async def drain_on_signal(drain: Callable[[], Awaitable[None]]) -> None:
     """Drains on the first SIGTERM or SIGINT; a second one exits at once.
 
@@ -40,7 +51,7 @@
         drain: Finishes work in flight; when it returns, so does this
             function, and the program can exit.
     """
-    with receive_signals(signal.SIGTERM, signal.SIGINT) as received_signals:
+    with receive_signals(*DRAIN_SIGNALS) as received_signals:
         async with anyio.create_task_group() as task_group:
             signal_count = 0
             async for _ in received_signals:
--- a/lagoonbeam/commands/scheduler.py
+++ b/lagoonbeam/commands/scheduler.py
@@ -9,6 +9,7 @@
 import typer
 
 from lagoonbeam.commands.program_lifecycle import (
+    block_drain_signals,
     drain_on_signal,
     load_settings_or_exit,
 )
@@ -42,6 +43,7 @@
         instance=scheduler_settings.instance,
         availability_zone=scheduler_settings.availability_zone,
     )
+    block_drain_signals()
     anyio.run(_run_scheduler, scheduler_settings)
 
 
