--- a/lagoonbeam/core/http_server.py
+++ b/lagoonbeam/core/http_server.py
@@ -123,7 +123,7 @@
         self._readers: set[RequestReader] = set()
         self.draining = False
         self.open_requests = 0
-        self._idle_scopes: set[anyio.CancelScope] = set()
+        self._read_scopes: dict[anyio.CancelScope, RequestReader] = {}
 
     async def serve(
         self,
@@ -185,8 +185,9 @@
     def drain(self) -> None:
         """Closes idle connections at once, busy ones after their response."""
         self.draining = True
-        for scope in list(self._idle_scopes):
-            scope.cancel()
+        for scope, reader in list(self._read_scopes.items()):
+            if not reader.is_receiving:
+                scope.cancel()
 
     async def _serve_connection(
         self, connection: TcpConnection, account: ConnectionAccount
@@ -242,11 +243,11 @@
         """Serves the next request; returns whether another may follow."""
         request = None
         with anyio.CancelScope() as scope:
-            self._idle_scopes.add(scope)
+            self._read_scopes[scope] = reader
             try:
                 request = await reader.read()
             finally:
-                self._idle_scopes.discard(scope)
+                del self._read_scopes[scope]
         if request is None:
             return False
         if reader.error_status or account.is_closed:
--- a/tests/test_connection_room.py
+++ b/tests/test_connection_room.py
@@ -91,9 +91,12 @@
     """Load: callers that wait for their jobs use up all connections."""
 
     async def main() -> None:
+        is_waiting = anyio.Event()
+
         async def answer(request: Request) -> Response:
             if request.target != "/wait":
                 return Response(200)
+            is_waiting.set()
             with request.move_on_after(20) as scope:
                 await anyio.sleep_forever()
             return Response(202 if scope.cancelled_caught else 500)
@@ -104,7 +107,7 @@
             with anyio.fail_after(10):
                 async with await anyio.connect_tcp(HOST, port) as waiting:
                     await waiting.send(b"GET /wait HTTP/1.1\r\n\r\n")
-                    await anyio.wait_all_tasks_blocked()
+                    await is_waiting.wait()
                     await call_successfully(port)
                     received = await receive_all(waiting)
                     assert received.startswith(b"HTTP/1.1 202 ")
@@ -180,6 +183,27 @@
     run_with_entry_server(RequestBudget(), scenario)
 
 
+def test_request_that_arrives_during_a_drain_is_answered() -> None:
+    async def scenario(
+        server: HttpServer, handler: CountingHandler, port: int
+    ) -> None:
+        async with (
+            await anyio.connect_tcp(HOST, port) as idle,
+            await anyio.connect_tcp(HOST, port) as receiving,
+        ):
+            await receiving.send(b"GET / HTTP/1.1\r\n")
+            while not any(each.is_receiving for each in server._readers):
+                await anyio.sleep(0.01)
+            server.stop_accepting()
+            server.drain()
+            assert await receive_all(idle) == b""
+            await receiving.send(b"\r\n")
+            received = await receive_all(receiving)
+            assert received.startswith(b"HTTP/1.1 200 ")
+
+    run_with_entry_server(RequestBudget(), scenario)
+
+
 def test_connections_with_kernel_buffers_displace_no_request() -> None:
     """Load: silent connections beside a body that is being received."""
 
