Let tasks give way while a late start may begin an earlier run

Cause: the end of a run was recorded for good once its stop was confirmed, though that binds only the incarnation of the worker that confirmed it. A start without an answer, carried out later by an incarnation that nobody has reached, began the run beside the next one. Which starts got no answer was known to one process, so a later term could not know it either.

Mutations of the new guards are red.

--- a/harness/presumed_end_mutations.py
+++ b/harness/presumed_end_mutations.py
@@ -5,6 +5,7 @@
 from harness.mutation import Mutation
 
 _TESTS = "tests/site/test_presumed_ends_"
+_NEXT_RUN = "tests/site/test_late_starts_next_run.py"
 
 PRESUMED_END_MUTATIONS = [
     Mutation(
@@ -165,6 +166,43 @@
         "tests/site/test_late_starts.py"
         "::test_start_without_an_answer_outlasts_the_lease_of_a_silent_worker",
     ),
+    Mutation(
+        "site: a unit gives way while a late start may begin",
+        "lagoonbeam/site/late_starts/late_start_guard.py",
+        "            for unit, worker in self.find_endangered():",
+        "            for unit, worker in ():",
+        f"{_NEXT_RUN}::test_next_run_gives_way_to_a_late_start_behind_a_cut",
+    ),
+    Mutation(
+        "site: a unit is not placed while a late start may begin",
+        "lagoonbeam/site/late_starts/late_start_guard.py",
+        "        return not self.is_needed or not any(",
+        "        return True or not any(",
+        f"{_NEXT_RUN}::test_task_waits_for_a_silent_worker_only_as_long_as"
+        "_a_start_may_begin",
+    ),
+    Mutation(
+        "site: a new incarnation is asked to refuse late starts",
+        "lagoonbeam/site/late_starts/late_start_refusals.py",
+        "        self._refused.clear()",
+        "        pass",
+        "tests/site/test_late_start_refusals.py"
+        "::test_next_incarnation_is_asked_to_refuse_the_start_again",
+    ),
+    Mutation(
+        "site: starts of an earlier term count as unanswered",
+        "lagoonbeam/site/unconfirmed_orders.py",
+        "            given_up_at_s = max(given_up_at_s, self._created_at_s)",
+        "            pass",
+        f"{_NEXT_RUN}::test_later_term_doubts_the_starts_of_an_earlier_one",
+    ),
+    Mutation(
+        "site: snapshots keep late starts",
+        "lagoonbeam/site/snapshot.py",
+        "        state.late_starts.add(late_start)",
+        "        pass",
+        "tests/site/test_late_start_index.py::test_snapshot_keeps_late_starts",
+    ),
     Mutation(
         "site: a run on a life whose clock began anew holds the longest lease",
         "lagoonbeam/site/run_dispatcher.py",
--- a/lagoonbeam/site/fleet.py
+++ b/lagoonbeam/site/fleet.py
@@ -53,8 +53,7 @@
         scheduler: The scheduler, which the sessions report to.
         lease_durations: Chooses the duration of each lease.
         stop_timeout_s: Longest time that a worker takes to stop a run.
-        order_delay_s: Longest time after which a worker carries out an order
-            that got no answer.
+        unanswered_starts: Starts of the term that got no answer.
         decisions: The decision log.
         zone_evacuations: Zones that operators evacuate; None if the platform
             has no such requests.
@@ -76,14 +75,14 @@
         *,
         lease_durations: LeaseDurations,
         stop_timeout_s: float = 0.0,
-        order_delay_s: float = 0.0,
+        unanswered_starts: UnansweredStarts | None = None,
         decisions: DecisionLog,
         zone_evacuations: ZoneEvacuations | None = None,
     ):
         self.sessions: dict[str, WorkerSession] = {}
         self.evacuations: set[str] = set()
         self.pending_starts: set[RunKey] = set()
-        self.unanswered_starts = UnansweredStarts(order_delay_s)
+        self.unanswered_starts = unanswered_starts or UnansweredStarts(0.0)
         self.health = WorkerHealthTracker(
             time.monotonic,
             failure_threshold=QUARANTINE_FAILURE_STREAK,
--- a/lagoonbeam/site/metrics.py
+++ b/lagoonbeam/site/metrics.py
@@ -97,6 +97,9 @@
             "queued_jobs", "Not started.", "queue", "organisation"
         )
         self.running_tasks = gauge("running_tasks", "Runs that may exist.")
+        self.late_starts = gauge(
+            "late_starts", "Unanswered starts of ended runs, while active."
+        )
         self.usable_workers = gauge("usable_workers", "While active.")
         self.workers_by_speed = gauge(
             "workers_by_speed", "Workers known, while active.", "speed"
--- a/lagoonbeam/site/planner_state.py
+++ b/lagoonbeam/site/planner_state.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from lagoonbeam.core.clock import Clock
@@ -42,6 +43,7 @@
         advice: Tickets of the advice service; None if there is none.
         policies: The policies in force; the defaults if None.
         clock: Source of wall clock and steady time.
+        may_place: Whether no late start keeps a unit from running.
     """
 
     def __init__(
@@ -51,9 +53,11 @@
         *,
         policies: Policies | None = None,
         clock: Clock | None = None,
+        may_place: Callable[[PlacementUnit], bool] = lambda unit: True,
     ):
         self.policies = policies or make_policies()
         self.clock = clock or Clock()
+        self.may_place = may_place
         speed_log = SpeedLog(decisions)
         self.worker_speeds = WorkerSpeeds(speed_log.report_change)
         self.run_progress = RunProgressTracker(speed_log.report_invalid)
--- a/lagoonbeam/site/prior_leases.py
+++ b/lagoonbeam/site/prior_leases.py
@@ -17,6 +17,7 @@
 
 from lagoonbeam.site.records import LeasesRenewed, Record
 from lagoonbeam.site.state import MAX_KNOWN_CLAIMS, SiteState
+from lagoonbeam.site.state_model import TERM_RENEWAL_INTERVAL_S
 
 MAX_UNCONFIRMED_RENEWAL_S = 8.0
 """Time after the last confirmed append for which worker leases are renewed.
@@ -24,8 +25,6 @@
 PRIOR_LEASE_FACTOR = 1.03
 """Longest duration of an earlier term's lease as a multiple of its nominal
 duration; worker clocks may run 2 % slow."""
-TERM_RENEWAL_INTERVAL_S = 0.4
-"""Interval at which the active scheduler renews its term in the journal."""
 RECORD_RETRY_S = 0.2
 """Delay before records that were not stored are appended again."""
 
--- a/lagoonbeam/site/ready_queue.py
+++ b/lagoonbeam/site/ready_queue.py
@@ -79,6 +79,7 @@
                 is_ready_by_step[key]
                 and unit.key not in launching_assignments
                 and not has_used_up_attempts(unit, self.get_policy(unit.job))
+                and self._planner_state.may_place(unit)
             ):
                 ready_units.append(unit)
         return ready_units
--- a/lagoonbeam/site/records.py
+++ b/lagoonbeam/site/records.py
@@ -204,16 +204,19 @@
         run: Number of the run.
         end: Why it ended.
         checkpoint: Newest known checkpoint; empty for none.
+        late_start_ms: Time for which a start of the run that got no answer
+            may still be carried out by a later incarnation of its worker.
     """
 
     task_id: str
     run: int
     end: RunEndReason
     checkpoint: str = ""
+    late_start_ms: int = 0
 
 
 class RunsEnded(_Record, frozen=True, tag="end"):
-    """Runs ended, and certainly do not exist any longer."""
+    """Runs ended, and do not exist any longer; see `RunEnd.late_start_ms`."""
 
     ends: tuple[RunEnd, ...]
 
--- a/lagoonbeam/site/run_launcher.py
+++ b/lagoonbeam/site/run_launcher.py
@@ -31,6 +31,7 @@
     Args:
         get_state: Returns the replica of the state.
         fleet: The sessions with all workers.
+        may_place: Whether no late start keeps a unit from running.
         advice: Tickets of the advice service.
         planner_state: Holds the placements that are not yet in the journal.
         append_to_journal: Appends records; returns whether they are stored.
@@ -43,6 +44,7 @@
         *,
         get_state: Callable[[], SiteState],
         fleet: WorkerFleet,
+        may_place: Callable[[PlacementUnit], bool],
         advice: AdviceCache,
         planner_state: PlannerState,
         append_to_journal: Callable[[Sequence[Record]], Awaitable[bool]],
@@ -53,6 +55,7 @@
     ):
         self._get_state = get_state
         self._fleet = fleet
+        self._may_place = may_place
         self._advice = advice
         self._planner_state = planner_state
         self._append_to_journal = append_to_journal
@@ -124,6 +127,7 @@
             or not self._fleet.has_incarnation(
                 placement.worker, placement.incarnation
             )
+            or not self._may_place(task.unit)
         }
         withdrawn = [
             placement
--- a/lagoonbeam/site/scheduler.py
+++ b/lagoonbeam/site/scheduler.py
@@ -19,6 +19,7 @@
 from lagoonbeam.site.jobs import SiteJob, Task
 from lagoonbeam.site.journal_appender import JournalAppender
 from lagoonbeam.site.journal_follower import JournalFollower
+from lagoonbeam.site.late_starts.late_start_guard import LateStartGuard
 from lagoonbeam.site.machine_fences import MachineFences
 from lagoonbeam.site.machines import TermHolder
 from lagoonbeam.site.model import (
@@ -34,7 +35,7 @@
 from lagoonbeam.site.policies import Policies
 from lagoonbeam.site.prior_leases import (
     MAX_UNCONFIRMED_RENEWAL_S,
-    TERM_RENEWAL_INTERVAL_S,
+    PRIOR_LEASE_FACTOR,
     LeaseTermRecorder,
 )
 from lagoonbeam.site.records import (
@@ -47,8 +48,10 @@
 from lagoonbeam.site.silent_workers.lease_durations import LeaseDurations
 from lagoonbeam.site.spare_pools import ShortageTracker, SparePoolController
 from lagoonbeam.site.state import SiteState
+from lagoonbeam.site.state_model import TERM_RENEWAL_INTERVAL_S
 from lagoonbeam.site.termination import TerminationRecorder
 from lagoonbeam.site.time_limits import PlatformTimeLimits
+from lagoonbeam.site.unconfirmed_orders import UnansweredStarts
 from lagoonbeam.site.upkeep import UpkeepController
 from lagoonbeam.site.worker_capacity import get_step_id
 from lagoonbeam.site.worker_speed.speed_monitor import SpeedMonitor
@@ -105,11 +108,23 @@
                 time_limits.lease_s, self._get_confirmation_age_s
             ),
             stop_timeout_s=time_limits.stop_timeout_s,
-            order_delay_s=time_limits.order_delay_s,
+            unanswered_starts=UnansweredStarts(
+                time_limits.order_delay_s,
+                inherited_runs={
+                    (task.task_id, task.run)
+                    for tasks in follower.state.tasks_by_worker.values()
+                    for task in tasks.values()
+                },
+            ),
             decisions=decisions,
             zone_evacuations=platform_services.zone_evacuations,
         )
         self._follower = follower
+        self._late_start_guard = LateStartGuard(
+            lambda: self.state,
+            self._fleet.sessions,
+            time_limits.lease_s * PRIOR_LEASE_FACTOR,
+        )
         self._advice = AdviceCache(platform_services.advice_service, decisions)
         self._get_configuration = get_configuration
         self._time_limits = time_limits
@@ -120,7 +135,10 @@
         self._cancel_scope = anyio.CancelScope()
         self._plan_requested = anyio.Event()
         self._planner_state = PlannerState(
-            decisions, self._advice, policies=policies
+            decisions,
+            self._advice,
+            policies=policies,
+            may_place=self._late_start_guard.may_place,
         )
         self._termination_recorder = TerminationRecorder(
             lambda: self.state,
@@ -128,10 +146,12 @@
             self._append_to_journal,
             self._planner_state,
             decisions,
+            self._fleet.unanswered_starts,
         )
         self._launcher = RunLauncher(
             get_state=lambda: self.state,
             fleet=self._fleet,
+            may_place=self._late_start_guard.may_place,
             advice=self._advice,
             planner_state=self._planner_state,
             append_to_journal=self._append_to_journal,
@@ -234,6 +254,11 @@
                 task_group.start_soon(self._watch_journal)
                 task_group.start_soon(self._advice.run)
                 task_group.start_soon(self._watch_advice)
+                task_group.start_soon(
+                    self._late_start_guard.run,
+                    self._fleet.stop_unit,
+                    self._decisions.metrics,
+                )
                 for controller in self._machine_controllers:
                     task_group.start_soon(controller.run)
                 await self._run_planning_loop()
@@ -258,10 +283,7 @@
         self, ends: Sequence[RunEnd], evidence: EndEvidence | None = None
     ) -> bool:
         """Journals ends of runs; see `SchedulerCallbacks.record_run_ends`."""
-        recorder = self._termination_recorder
-        if is_stored := await recorder.record_run_ends(ends, evidence):
-            self._fleet.unanswered_starts.discard_ended(ends)
-        return is_stored
+        return await self._termination_recorder.record_run_ends(ends, evidence)
 
     def on_worker_usable(self, worker: str) -> None:
         """Requests a new plan after a worker became usable."""
--- a/lagoonbeam/site/session.py
+++ b/lagoonbeam/site/session.py
@@ -16,6 +16,7 @@
 from lagoonbeam.site.drain import find_tasks_outlasting
 from lagoonbeam.site.events import Event
 from lagoonbeam.site.jobs import Task
+from lagoonbeam.site.late_starts.late_start_refusals import LateStartRefusals
 from lagoonbeam.site.lease import Lease
 from lagoonbeam.site.model import (
     ActiveRun,
@@ -41,7 +42,8 @@
 PACING_WAIT_S = 0.4
 """Long-poll time-out while filler tasks run beside serving tasks."""
 UNCONFIRMED_WAIT_S = 0.1
-"""Long-poll time-out while a start or stop is unconfirmed."""
+"""Long-poll time-out while a start or stop is unconfirmed, or a start of a run
+that has ended may arrive: a restart must be noticed soon."""
 POLL_RETRY_S = 0.2
 """Delay before the next poll of a worker that did not answer."""
 MAX_FAILED_POLLS = 2
@@ -56,6 +58,7 @@
         incarnation: Incarnation that sent the newest poll reply. Until the
             directory shows it too, the capacity and labels are unknown.
         polls: Whether the worker answers its polls in time.
+        late_starts: Late starts that the worker refuses or may carry out.
     """
 
     def __init__(
@@ -98,6 +101,9 @@
             decisions,
             self.polls,
         )
+        self.late_starts = LateStartRefusals(
+            report.worker, scheduler, self.dispatcher
+        )
         self._acked_sequence = 0
         self._stalled_runs = StalledRunHandler(
             report.worker, scheduler, self.dispatcher
@@ -151,12 +157,16 @@
         )
 
     async def run(self) -> None:
-        """Polls until closed, or until unlisted with no placed tasks left."""
+        """Polls until closed, or until unlisted with nothing left to watch."""
         try:
             async with anyio.create_task_group() as task_group:
                 self.dispatcher.task_group = task_group
                 with self._cancel_scope:
-                    while self.is_listed or self._list_placed_tasks():
+                    while (
+                        self.is_listed
+                        or self._list_placed_tasks()
+                        or self.late_starts.may_arrive
+                    ):
                         await self._poll()
                 task_group.cancel_scope.cancel()
         finally:
@@ -184,7 +194,11 @@
         )
 
     def _choose_wait_s(self) -> float:
-        if self._has_unconfirmed() or self.polls.awaits_answer:
+        if (
+            self._has_unconfirmed()
+            or self.polls.awaits_answer
+            or self.late_starts.is_watching
+        ):
             return UNCONFIRMED_WAIT_S
         if self._pacer.is_needed(self.running.values()):
             return PACING_WAIT_S
@@ -281,6 +295,7 @@
         self.incarnation = reply.incarnation
         self._acked_sequence = 0
         self.dispatcher.discard_stops()
+        self.late_starts.discard_refused()
         self.running = {}
         if ends and await self._renewer.record_run_ends(
             ends, EndEvidence.RESTARTED, acked_sequence=0
@@ -325,6 +340,7 @@
                 )
                 missing.append(RunEnd(*run_key, reason))
         if missing:
+            self.late_starts.record_refused(missing)
             await self._renewer.record_run_ends(
                 missing,
                 EndEvidence.STOP_CONFIRMED,
@@ -336,6 +352,7 @@
                 if missing_task is not None:
                     self._scheduler.on_start_refused(self.worker, missing_task)
         self._stop_stale_runs()
+        self.late_starts.update(self.running, sent_s)
         await self._pacer.adjust(self.running.values())
 
     def _may_repeat_start(self, task: Task) -> bool:
@@ -366,6 +383,7 @@
             and task.placement.worker == self.worker
             and task.run == end.run
         ]
+        self.late_starts.record_refused(new)
         now_s = time.monotonic()
         for end in new:
             started_s = self.dispatcher.discard_run(end.task_id, end.run)
--- a/lagoonbeam/site/silent_workers/poll_watch.py
+++ b/lagoonbeam/site/silent_workers/poll_watch.py
@@ -12,6 +12,7 @@
     """Tracks the polls of one worker, and starts that it left unanswered."""
 
     def __init__(self) -> None:
+        self._created_at_s = time.monotonic()
         self._answered_poll_sent_at_s = float("-inf")
         self._unanswered_start_at_s = float("-inf")
         self._answer_required_at_s = float("-inf")
@@ -37,6 +38,16 @@
             or time.monotonic() > self._due_at_s + POLL_OVERDUE_S
         )
 
+    @property
+    def silence_s(self) -> float:
+        """Time since the newest answered poll was sent.
+
+        Before the first, this is the time since this object was created.
+        """
+        return time.monotonic() - max(
+            self._answered_poll_sent_at_s, self._created_at_s
+        )
+
     def record_sent(self, wait_s: float) -> None:
         """Records that a poll is being sent.
 
--- a/lagoonbeam/site/snapshot.py
+++ b/lagoonbeam/site/snapshot.py
@@ -6,6 +6,7 @@
 
 from lagoonbeam.errors import MalformedDataError
 from lagoonbeam.site.jobs import JobSummary, PlacementUnit, SiteJob
+from lagoonbeam.site.late_starts.late_start_index import LateStart
 from lagoonbeam.site.model import JobRequest, JobState
 from lagoonbeam.site.records import (
     InstanceJoined,
@@ -88,6 +89,7 @@
     renewals_at_claim: dict[int, int] = {}
     cancelled_ids: tuple[str, ...] = ()
     speed_estimates: SpeedsEstimated = SpeedsEstimated()
+    late_starts: tuple[LateStart, ...] = ()
 
 
 _ENCODER = msgspec.msgpack.Encoder()
@@ -127,6 +129,7 @@
             SpeedsEstimated(
                 state.speed_estimates.speeds, state.speed_estimates.run_times_s
             ),
+            tuple(state.late_starts),
         )
     )
 
@@ -164,6 +167,8 @@
     state.renewals_at_claim = dict(stored.renewals_at_claim)
     state.cancelled_ids = dict.fromkeys(stored.cancelled_ids)
     state.apply(stored.speed_estimates)
+    for late_start in stored.late_starts:
+        state.late_starts.add(late_start)
     return state
 
 
--- a/lagoonbeam/site/state.py
+++ b/lagoonbeam/site/state.py
@@ -12,6 +12,7 @@
     Task,
     build_job,
 )
+from lagoonbeam.site.late_starts.late_start_index import LateStartIndex
 from lagoonbeam.site.model import JobState, RunEndReason
 from lagoonbeam.site.records import (
     InstanceJoined,
@@ -66,6 +67,7 @@
         renewals_at_claim: That number at the claim of each of the newest
             terms.
         speed_estimates: Estimates from which the next scheduler starts.
+        late_starts: Starts of ended runs that may still be carried out.
         placement_version: For each worker, the number of changes to the
             tasks placed on it.
     """
@@ -85,6 +87,7 @@
         self.lent_machines: dict[str, MachineLoan] = {}
         self.placement_version: dict[str, int] = defaultdict(int)
         self.speed_estimates = SpeedEstimates()
+        self.late_starts = LateStartIndex()
         self._open_jobs: dict[str, SiteJob] = {}
         self._waiting_units: dict[str, PlacementUnit] = {}
         self._ended_job_ids: dict[str, None] = {}
@@ -322,6 +325,7 @@
         return
     state.renewal_count += state.term.is_renewed
     state.term.is_renewed = True
+    state.late_starts.discard_expired(state.renewal_count)
 
 
 @_apply_record.register
@@ -365,6 +369,9 @@
         task = state.tasks.get(end.task_id)
         if task is None or task.placement is None or task.run != end.run:
             continue
+        state.late_starts.add_ended(
+            end, task.placement.worker, state.renewal_count
+        )
         _apply_run_end(state, task, end)
         state.refresh_waiting(task.unit)
 
--- a/lagoonbeam/site/state_model.py
+++ b/lagoonbeam/site/state_model.py
@@ -6,6 +6,8 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
+TERM_RENEWAL_INTERVAL_S = 0.4
+"""Interval at which the active scheduler renews its term in the journal."""
 MAX_WORKER_SPEEDS = 2_000
 """Workers whose speed is kept; those unchanged for longest are dropped."""
 MAX_QUEUE_RUN_TIMES = 500
--- a/lagoonbeam/site/termination.py
+++ b/lagoonbeam/site/termination.py
@@ -31,6 +31,7 @@
     RunsEnded,
 )
 from lagoonbeam.site.state import SiteState
+from lagoonbeam.site.unconfirmed_orders import UnansweredStarts
 
 MAX_ENDS_PER_PASS = 50
 """Failed jobs, and expired ones, that are journaled in one planning pass."""
@@ -47,6 +48,7 @@
         append_to_journal: Appends records; returns whether they are stored.
         planner_state: Knows which placements are being journaled.
         decisions: The decision log.
+        unanswered_starts: Starts of the term that got no answer.
     """
 
     def __init__(
@@ -56,12 +58,14 @@
         append_to_journal: AppendToJournal,
         planner_state: PlannerState,
         decisions: DecisionLog,
+        unanswered_starts: UnansweredStarts,
     ):
         self._get_state = get_state
         self._get_policy = get_policy
         self._append_to_journal = append_to_journal
         self._planner_state = planner_state
         self._decisions = decisions
+        self._unanswered_starts = unanswered_starts
 
     async def record_run_ends(
         self, ends: Sequence[RunEnd], evidence: EndEvidence | None = None
@@ -76,8 +80,10 @@
             if (task := tasks.get(end.task_id)) is not None
             and task.unit.job.is_open
         }
-        if not await self._append_to_journal([RunsEnded(tuple(ends))]):
+        marked_ends = self._unanswered_starts.mark_late_starts(ends)
+        if not await self._append_to_journal([RunsEnded(tuple(marked_ends))]):
             return False
+        self._unanswered_starts.discard_ended(ends)
         for end in ends:
             self._decisions.metrics.ends.labels(end.end.value).inc()
         for job in jobs.values():
--- a/lagoonbeam/site/unconfirmed_orders.py
+++ b/lagoonbeam/site/unconfirmed_orders.py
@@ -6,10 +6,14 @@
 
 from __future__ import annotations
 
+import math
 import time
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence, Set
 from dataclasses import dataclass
 
+import msgspec
+
+from lagoonbeam.site.model import RunEndReason
 from lagoonbeam.site.records import RunEnd, RunKey
 
 TOKENS_PER_TERM = 1000
@@ -54,16 +58,42 @@
     Args:
         max_delay_s: Longest time after which an order that got no answer is
             carried out.
+        inherited_runs: Runs that earlier terms placed; whether their starts
+            were answered is not known.
     """
 
-    def __init__(self, max_delay_s: float):
+    def __init__(
+        self, max_delay_s: float, inherited_runs: Set[RunKey] = frozenset()
+    ):
         self._max_delay_s = max_delay_s
+        self._inherited_runs = inherited_runs
+        self._created_at_s = time.monotonic()
         self._given_up_at_s: dict[RunKey, float] = {}
 
     def record(self, run_key: RunKey) -> None:
         """Records that a start of a run got no answer until now."""
         self._given_up_at_s[run_key] = time.monotonic()
 
+    def mark_late_starts(self, ends: Sequence[RunEnd]) -> list[RunEnd]:
+        """Returns ends of runs that say how long a start may still arrive."""
+        now_s = time.monotonic()
+        return [
+            msgspec.structs.replace(
+                end,
+                late_start_ms=math.ceil(
+                    self._get_remaining_s(end, now_s) * 1e3
+                ),
+            )
+            for end in ends
+        ]
+
+    def _get_remaining_s(self, end: RunEnd, now_s: float) -> float:
+        run_key = (end.task_id, end.run)
+        given_up_at_s = self._given_up_at_s.get(run_key, float("-inf"))
+        if run_key in self._inherited_runs and end.end is not RunEndReason.DONE:
+            given_up_at_s = max(given_up_at_s, self._created_at_s)
+        return max(0.0, given_up_at_s + self._max_delay_s - now_s)
+
     def discard_ended(self, ends: Iterable[RunEnd]) -> None:
         """Discards the starts of runs that have ended."""
         for end in ends:
--- a/tests/site/test_fleet.py
+++ b/tests/site/test_fleet.py
@@ -94,6 +94,7 @@
         self.launcher = RunLauncher(
             get_state=lambda: self.state,
             fleet=self.fleet,
+            may_place=lambda unit: True,
             advice=advice,
             planner_state=PlannerState(self.decisions),
             append_to_journal=self.append,
--- a/tests/site/test_termination.py
+++ b/tests/site/test_termination.py
@@ -13,6 +13,7 @@
 from lagoonbeam.site.records import Record, RunEnd, RunsEnded
 from lagoonbeam.site.state import SiteState
 from lagoonbeam.site.termination import TerminationRecorder
+from lagoonbeam.site.unconfirmed_orders import UnansweredStarts
 from tests.site.builders import (
     accept_job,
     make_job,
@@ -33,6 +34,7 @@
             self.journal,
             PlannerState(self.decisions),
             self.decisions,
+            UnansweredStarts(12.0),
         )
 
     async def journal(self, records: Sequence[Record]) -> bool:
--- a/tests/site/worker_model.py
+++ b/tests/site/worker_model.py
@@ -34,12 +34,14 @@
     Attributes:
         presumed_ends: Runs whose end was recorded without the worker's word.
         violations: What broke the rule.
+        overlaps: The violations in which two runs of a task were at work.
     """
 
     def __init__(self) -> None:
         self.workers: list[WorkerModel] = []
         self.presumed_ends: dict[RunKey, RunEndReason] = {}
         self.violations: list[str] = []
+        self.overlaps: list[str] = []
 
     def check_end(self, key: RunKey, reason: RunEndReason) -> None:
         """Checks a run at the moment at which its end is recorded."""
@@ -58,12 +60,14 @@
             self.violations.append(
                 f"{worker} begins {key} after its end was recorded"
             )
-        self.violations += [
+        overlaps = [
             f"{worker} begins {key} while {other.name} runs {running}"
             for other in self.workers
             for running in other.list_running()
             if running[0] == key[0] and (other.name, running) != (worker, key)
         ]
+        self.violations += overlaps
+        self.overlaps += overlaps
 
 
 @dataclass
