Split what each record does from the site's state, and small parts from the sessions

Change: state_changes.py holds how each record changes the state, machine_controllers.py creates the controllers, poll_waits.py chooses the time-out of a poll, stale_runs.py stops stale runs. No behaviour changes; mutations name the new files.

--- a/harness/incident_mutations.py
+++ b/harness/incident_mutations.py
@@ -58,7 +58,7 @@
     ),
     Mutation(
         "site: a cancelled identifier stays cancelled",
-        "lagoonbeam/site/state.py",
+        "lagoonbeam/site/state_changes.py",
         "    if request.job_id in state.cancelled_ids:",
         "    if False:",
         "tests/site/test_job_service.py"
--- a/harness/presumed_end_mutations.py
+++ b/harness/presumed_end_mutations.py
@@ -76,7 +76,7 @@
     ),
     Mutation(
         "site: a run number names one placement",
-        "lagoonbeam/site/state.py",
+        "lagoonbeam/site/state_changes.py",
         "        if task is None or placement.run <= task.run:",
         "        if task is None:",
         "tests/site/test_state.py"
--- a/harness/site_mutations.py
+++ b/harness/site_mutations.py
@@ -17,28 +17,28 @@
     ),
     Mutation(
         "site: the first record of an identifier counts",
-        "lagoonbeam/site/state.py",
+        "lagoonbeam/site/state_changes.py",
         "    if request.job_id in state.jobs:",
         "    if False:",
         "tests/site/test_state.py::test_second_acceptance_of_a_job_id_is_ignored",
     ),
     Mutation(
         "site: the end of a stale run is ignored",
-        "lagoonbeam/site/state.py",
+        "lagoonbeam/site/state_changes.py",
         "task.placement is None or task.run != end.run:",
         "task.placement is None:",
         "tests/site/test_state.py::test_end_of_a_stale_run_is_ignored",
     ),
     Mutation(
         "site: did_not_run is true",
-        "lagoonbeam/site/state.py",
+        "lagoonbeam/site/state_changes.py",
         "    if job is not None and not job.has_started:",
         "    if job is not None:",
         "tests/site/test_state.py::test_started_job_is_not_dropped",
     ),
     Mutation(
         "site: work that may have run is not repeated",
-        "lagoonbeam/site/state.py",
+        "lagoonbeam/site/state_changes.py",
         "        unit.job.request.runs_once\n",
         "        False\n",
         "tests/site/test_state.py"
--- a/lagoonbeam/site/prior_leases.py
+++ b/lagoonbeam/site/prior_leases.py
@@ -16,7 +16,8 @@
 import anyio
 
 from lagoonbeam.site.records import LeasesRenewed, Record
-from lagoonbeam.site.state import MAX_KNOWN_CLAIMS, SiteState
+from lagoonbeam.site.state import SiteState
+from lagoonbeam.site.state_changes import MAX_KNOWN_CLAIMS
 from lagoonbeam.site.state_model import TERM_RENEWAL_INTERVAL_S
 
 MAX_UNCONFIRMED_RENEWAL_S = 8.0
--- a/lagoonbeam/site/scheduler.py
+++ b/lagoonbeam/site/scheduler.py
@@ -11,7 +11,6 @@
 from lagoonbeam.core.clock import read_boot_time_s
 from lagoonbeam.errors import LagoonbeamError, LogAppendUnconfirmedError
 from lagoonbeam.site.advice import AdviceCache
-from lagoonbeam.site.controllers import ControllerContext, MachineController
 from lagoonbeam.site.decision_log import DecisionLog
 from lagoonbeam.site.evacuation import WorkerEvacuator
 from lagoonbeam.site.events import Event
@@ -20,7 +19,7 @@
 from lagoonbeam.site.journal_appender import JournalAppender
 from lagoonbeam.site.journal_follower import JournalFollower
 from lagoonbeam.site.late_starts.late_start_guard import LateStartGuard
-from lagoonbeam.site.machine_fences import MachineFences
+from lagoonbeam.site.machine_controllers import make_machine_controllers
 from lagoonbeam.site.machines import TermHolder
 from lagoonbeam.site.model import (
     ActiveRun,
@@ -46,13 +45,12 @@
 )
 from lagoonbeam.site.run_launcher import RunLauncher
 from lagoonbeam.site.silent_workers.lease_durations import LeaseDurations
-from lagoonbeam.site.spare_pools import ShortageTracker, SparePoolController
+from lagoonbeam.site.spare_pools import ShortageTracker
 from lagoonbeam.site.state import SiteState
 from lagoonbeam.site.state_model import TERM_RENEWAL_INTERVAL_S
 from lagoonbeam.site.termination import TerminationRecorder
 from lagoonbeam.site.time_limits import PlatformTimeLimits
 from lagoonbeam.site.unconfirmed_orders import UnansweredStarts
-from lagoonbeam.site.upkeep import UpkeepController
 from lagoonbeam.site.worker_capacity import get_step_id
 from lagoonbeam.site.worker_speed.speed_monitor import SpeedMonitor
 from lagoonbeam.types import InstanceName
@@ -165,19 +163,8 @@
             self._append_to_journal,
         )
         self._shortage_tracker = ShortageTracker()
-        self._machine_controllers = self._make_machine_controllers(
-            platform_services, TermHolder(instance, writer.epoch)
-        )
-        self._task_group: anyio.abc.TaskGroup | None = None
-
-    def _make_machine_controllers(
-        self, platform_services: PlatformServices, holder: TermHolder
-    ) -> list[MachineController]:
-        """Creates the machine controllers; none without a machine service."""
-        if platform_services.machines is None:
-            return []
-        context = ControllerContext(
-            machines=platform_services.machines,
+        self._machine_controllers = make_machine_controllers(
+            platform_services,
             get_state=lambda: self.state,
             append_records=self._append_to_journal,
             evacuations=WorkerEvacuator(
@@ -186,20 +173,13 @@
                 self._planner_state,
                 self._fleet.stop_unit,
             ),
-            fences=MachineFences(holder),
+            holder=TermHolder(instance, writer.epoch),
+            shortages=self._shortage_tracker,
+            get_configuration=get_configuration,
             lose_term=self.lose_term,
-            decisions=self._decisions,
+            decisions=decisions,
         )
-        controllers: list[MachineController] = [
-            SparePoolController(
-                context, self._shortage_tracker, self._get_configuration
-            )
-        ]
-        if platform_services.wave_registry is not None:
-            controllers.append(
-                UpkeepController(context, platform_services.wave_registry)
-            )
-        return controllers
+        self._task_group: anyio.abc.TaskGroup | None = None
 
     @property
     def state(self) -> SiteState:
--- a/lagoonbeam/site/session.py
+++ b/lagoonbeam/site/session.py
@@ -26,6 +26,7 @@
     WorkerReport,
 )
 from lagoonbeam.site.platform_interface import WorkerClient
+from lagoonbeam.site.poll_waits import choose_poll_wait_s
 from lagoonbeam.site.records import RunEnd, RunKey
 from lagoonbeam.site.run_dispatcher import RunDispatcher
 from lagoonbeam.site.run_pacer import RunPacer
@@ -33,17 +34,10 @@
 from lagoonbeam.site.silent_workers.lapses import make_lapse
 from lagoonbeam.site.silent_workers.lease_renewer import LeaseRenewer
 from lagoonbeam.site.silent_workers.poll_watch import PollWatch
-from lagoonbeam.site.stale_runs import find_stop_cause
+from lagoonbeam.site.stale_runs import stop_stale_runs
 from lagoonbeam.site.stalled_runs import StalledRunHandler
 from lagoonbeam.site.unconfirmed_orders import UnansweredStarts, WorkerFence
 
-POLL_WAIT_S = 1.0
-"""Long-poll time-out; a fraction of the shortest lease."""
-PACING_WAIT_S = 0.4
-"""Long-poll time-out while filler tasks run beside serving tasks."""
-UNCONFIRMED_WAIT_S = 0.1
-"""Long-poll time-out while a start or stop is unconfirmed, or a start of a run
-that has ended may arrive: a restart must be noticed soon."""
 POLL_RETRY_S = 0.2
 """Delay before the next poll of a worker that did not answer."""
 MAX_FAILED_POLLS = 2
@@ -194,15 +188,12 @@
         )
 
     def _choose_wait_s(self) -> float:
-        if (
-            self._has_unconfirmed()
+        return choose_poll_wait_s(
+            awaits_confirmation=self._has_unconfirmed()
             or self.polls.awaits_answer
-            or self.late_starts.is_watching
-        ):
-            return UNCONFIRMED_WAIT_S
-        if self._pacer.is_needed(self.running.values()):
-            return PACING_WAIT_S
-        return POLL_WAIT_S
+            or self.late_starts.is_watching,
+            is_pacing=self._pacer.is_needed(self.running.values()),
+        )
 
     async def _poll(self) -> None:
         sent_s = time.monotonic()
@@ -351,7 +342,9 @@
                 missing_task = self._scheduler.state.tasks.get(end.task_id)
                 if missing_task is not None:
                     self._scheduler.on_start_refused(self.worker, missing_task)
-        self._stop_stale_runs()
+        stop_stale_runs(
+            self.running, self._scheduler.state, self.worker, self.dispatcher
+        )
         self.late_starts.update(self.running, sent_s)
         await self._pacer.adjust(self.running.values())
 
@@ -403,11 +396,3 @@
         ):
             return
         self._acked_sequence = max(end.sequence for end in new)
-
-    def _stop_stale_runs(self) -> None:
-        for running in self.running.values():
-            task = self._scheduler.state.tasks.get(running.task_id)
-            if cause := find_stop_cause(running, task, self.worker):
-                self.dispatcher.request_stop(
-                    running.task_id, running.run, cause
-                )
--- a/lagoonbeam/site/stale_runs.py
+++ b/lagoonbeam/site/stale_runs.py
@@ -2,8 +2,32 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
+
 from lagoonbeam.site.jobs import Task
 from lagoonbeam.site.model import ActiveRun
+from lagoonbeam.site.run_dispatcher import RunDispatcher
+from lagoonbeam.site.state import SiteState
+
+
+def stop_stale_runs(
+    running: Mapping[str, ActiveRun],
+    state: SiteState,
+    worker: str,
+    dispatcher: RunDispatcher,
+) -> None:
+    """Stops the runs that a worker is not to execute any longer.
+
+    Args:
+        running: The runs that it lists, by task.
+        state: The site's state.
+        worker: The worker's name.
+        dispatcher: Sends stop commands to the worker.
+    """
+    for active_run in running.values():
+        task = state.tasks.get(active_run.task_id)
+        if cause := find_stop_cause(active_run, task, worker):
+            dispatcher.request_stop(active_run.task_id, active_run.run, cause)
 
 
 def find_stop_cause(
--- a/tests/site/test_silent_workers.py
+++ b/tests/site/test_silent_workers.py
@@ -13,8 +13,8 @@
 from lagoonbeam.site.decision_log import DecisionLog
 from lagoonbeam.site.instance import TAKEOVER_JITTER_S, TAKEOVER_TIMEOUT_S
 from lagoonbeam.site.model import Step
+from lagoonbeam.site.poll_waits import POLL_WAIT_S
 from lagoonbeam.site.records import JobAccepted, encode_record
-from lagoonbeam.site.session import POLL_WAIT_S
 from lagoonbeam.site.silent_workers.lease_durations import (
     MAX_CONFIRMATION_AGE_S,
     SHORT_LEASE_S,
