Count a job as begun when a worker has begun it, not when it is placed

Cause: a job counted as started once a run of it was placed, which is a plan. A start that was refused, lost or withdrawn didn't take that back.

Change: the active scheduler collects what workers say has begun (confirmed, listed or ended runs; all members of a gang) and records it with the next renewal of its term, so it costs no call of its own.

--- a/harness/presumed_end_mutations.py
+++ b/harness/presumed_end_mutations.py
@@ -109,7 +109,7 @@
     ),
     Mutation(
         "site: an earlier term's runs have time to be stopped",
-        "lagoonbeam/site/scheduler.py",
+        "lagoonbeam/site/prior_leases.py",
         "expires_at_s + self._time_limits.stop_timeout_s",
         "expires_at_s",
         f"{_TESTS}slow_or_moved_worker.py"
--- a/harness/site_mutations.py
+++ b/harness/site_mutations.py
@@ -32,10 +32,35 @@
     Mutation(
         "site: did_not_run is true",
         "lagoonbeam/site/state_changes.py",
-        "    if job is not None and not job.has_started:",
+        "    if job is not None and job.has_certainly_not_run:",
         "    if job is not None:",
         "tests/site/test_state.py::test_started_job_is_not_dropped",
     ),
+    Mutation(
+        "site: a placement is no begin",
+        "lagoonbeam/site/state_changes.py",
+        "        task.run = placement.run\n",
+        "        task.run = placement.run\n"
+        "        task.unit.job.mark_begun()\n",
+        "tests/site/test_begun_jobs.py"
+        "::test_jobs_whose_starts_are_refused_are_pending",
+    ),
+    Mutation(
+        "site: a gang has begun once all members are there",
+        "lagoonbeam/site/begun_jobs.py",
+        "        return len(members) == len(unit.tasks)",
+        "        return True",
+        "tests/site/test_begun_jobs.py"
+        "::test_gang_has_begun_once_all_members_are_there",
+    ),
+    Mutation(
+        "site: a start that may be late is no proof that nothing ran",
+        "lagoonbeam/site/state_changes.py",
+        " or end.late_start_ms > 0:",
+        ":",
+        "tests/site/test_begun_jobs.py"
+        "::test_job_is_dropped_only_if_no_run_of_it_can_have_begun",
+    ),
     Mutation(
         "site: work that may have run is not repeated",
         "lagoonbeam/site/state_changes.py",
--- a/lagoonbeam/site/fleet.py
+++ b/lagoonbeam/site/fleet.py
@@ -151,6 +151,14 @@
         session = self.sessions.get(worker)
         return session is not None and session.incarnation == incarnation
 
+    def record_outcome(self, worker: str, job_id: str, *, ok: bool) -> None:
+        """Records whether a worker completed or failed a run of a job."""
+        self.health.record_outcome(worker, job_id, ok=ok)
+        if not ok and self.health.is_at_fault(worker):
+            self._decisions.emit(
+                Event.WORKER_QUARANTINED, worker=worker, job=job_id
+            )
+
     def _list_evacuated_zones(self) -> frozenset[ZoneName]:
         if self._zone_evacuations is None:
             return frozenset()
--- a/lagoonbeam/site/jobs.py
+++ b/lagoonbeam/site/jobs.py
@@ -138,7 +138,10 @@
             no steps.
         units: All units by (occurrence, step index).
         state: State of the job.
-        has_started: Whether any task was ever started.
+        has_begun: Whether a worker has said that it began a task; for a gang,
+            that all members were there.
+        may_have_run: Whether it is not certain that no task ever ran; runs
+            that may exist now don't count.
         unfinished_unit_count: Number of units that are not done.
         unit_with_most_failures: The unit with the most failures, if any failed;
             units of long-running steps are not counted.
@@ -151,7 +154,8 @@
         default_factory=dict
     )
     state: JobState = JobState.QUEUED
-    has_started: bool = False
+    has_begun: bool = False
+    may_have_run: bool = False
     unfinished_unit_count: int = 0
     unit_with_most_failures: PlacementUnit | None = None
     summary: JobSummary | None = None
@@ -162,6 +166,18 @@
         """Whether the job may still start tasks."""
         return self.state in (JobState.QUEUED, JobState.RUNNING)
 
+    def mark_begun(self) -> None:
+        """Records that a worker has begun a task."""
+        self.has_begun = True
+        self.may_have_run = True
+        if self.state is JobState.QUEUED:
+            self.state = JobState.RUNNING
+
+    @property
+    def has_certainly_not_run(self) -> bool:
+        """Whether no task ran, or may be running."""
+        return not self.may_have_run and not self.has_placements()
+
     def all_units(self) -> Iterator[PlacementUnit]:
         """Yields the units of all steps."""
         for units in self.units.values():
--- a/lagoonbeam/site/prior_leases.py
+++ b/lagoonbeam/site/prior_leases.py
@@ -19,6 +19,7 @@
 from lagoonbeam.site.state import SiteState
 from lagoonbeam.site.state_changes import MAX_KNOWN_CLAIMS
 from lagoonbeam.site.state_model import TERM_RENEWAL_INTERVAL_S
+from lagoonbeam.site.time_limits import PlatformTimeLimits
 
 MAX_UNCONFIRMED_RENEWAL_S = 8.0
 """Time after the last confirmed append for which worker leases are renewed.
@@ -76,6 +77,42 @@
         )
 
 
+class PriorLeases:
+    """Knows when the leases of earlier terms on each worker have expired.
+
+    Args:
+        get_state: Returns the replica of the state.
+        term_claims: When the claims of terms were read.
+        term: The present term.
+        time_limits: Time limits set by the platform.
+    """
+
+    def __init__(
+        self,
+        get_state: Callable[[], SiteState],
+        term_claims: TermClaimTimes,
+        term: int,
+        time_limits: PlatformTimeLimits,
+    ):
+        self._get_state = get_state
+        self._term_claims = term_claims
+        self._earlier_term = term - 1
+        self._time_limits = time_limits
+
+    def find_expiry_s(self, worker: str) -> float:
+        """Returns when they have expired on a worker, in monotonic time."""
+        state = self._get_state()
+        if not state.tasks_by_worker.get(worker):
+            return float("-inf")
+        last_term = state.lease_terms.get(worker, self._earlier_term)
+        expires_at_s = self._term_claims.find_lease_expiry_s(
+            state,
+            min(last_term, self._earlier_term),
+            self._time_limits.lease_s,
+        )
+        return expires_at_s + self._time_limits.stop_timeout_s
+
+
 class LeaseTermRecorder:
     """Journals which workers' leases a term renews, before it does.
 
--- a/lagoonbeam/site/records.py
+++ b/lagoonbeam/site/records.py
@@ -53,8 +53,14 @@
     task_id: str
 
 
+class JobsBegun(_Record, frozen=True, tag="begun"):
+    """Workers have begun work items of jobs."""
+
+    job_ids: tuple[str, ...]
+
+
 class JobDropped(_Record, frozen=True, tag="drop"):
-    """A job missed its start deadline; ignored if it has started since."""
+    """A job missed its start deadline; ignored if it may have run."""
 
     job_id: str
 
@@ -239,6 +245,7 @@
     | JobAccepted
     | JobCancelled
     | JobFailed
+    | JobsBegun
     | JobDropped
     | WaveBegun
     | UpkeepOrdered
--- a/lagoonbeam/site/run_dispatcher.py
+++ b/lagoonbeam/site/run_dispatcher.py
@@ -247,6 +247,7 @@
             )
             self._lease.record_start_answer(clock_ms, sent_s)
             self._start_confirmed_at_s[run_key] = time.monotonic()
+            self._scheduler.on_run_begun(*run_key)
             outcome = "started"
         except FencedError:
             outcome = "refused: fence"
--- a/lagoonbeam/site/scheduler.py
+++ b/lagoonbeam/site/scheduler.py
@@ -11,6 +11,7 @@
 from lagoonbeam.core.clock import read_boot_time_s
 from lagoonbeam.errors import LagoonbeamError, LogAppendUnconfirmedError
 from lagoonbeam.site.advice import AdviceCache
+from lagoonbeam.site.begun_jobs import BegunJobs
 from lagoonbeam.site.decision_log import DecisionLog
 from lagoonbeam.site.evacuation import WorkerEvacuator
 from lagoonbeam.site.events import Event
@@ -36,6 +37,7 @@
     MAX_UNCONFIRMED_RENEWAL_S,
     PRIOR_LEASE_FACTOR,
     LeaseTermRecorder,
+    PriorLeases,
 )
 from lagoonbeam.site.records import (
     Record,
@@ -47,6 +49,7 @@
 from lagoonbeam.site.silent_workers.lease_durations import LeaseDurations
 from lagoonbeam.site.spare_pools import ShortageTracker
 from lagoonbeam.site.state import SiteState
+from lagoonbeam.site.state_changes import NO_WORK_ENDS
 from lagoonbeam.site.state_model import TERM_RENEWAL_INTERVAL_S
 from lagoonbeam.site.termination import TerminationRecorder
 from lagoonbeam.site.time_limits import PlatformTimeLimits
@@ -108,11 +111,7 @@
             stop_timeout_s=time_limits.stop_timeout_s,
             unanswered_starts=UnansweredStarts(
                 time_limits.order_delay_s,
-                inherited_runs={
-                    (task.task_id, task.run)
-                    for tasks in follower.state.tasks_by_worker.values()
-                    for task in tasks.values()
-                },
+                inherited_runs=follower.state.list_placed_runs(),
             ),
             decisions=decisions,
             zone_evacuations=platform_services.zone_evacuations,
@@ -123,6 +122,10 @@
             self._fleet.sessions,
             time_limits.lease_s * PRIOR_LEASE_FACTOR,
         )
+        self._begun_jobs = BegunJobs(lambda: self.state)
+        self._prior_leases = PriorLeases(
+            lambda: self.state, follower.term_claims, self.token, time_limits
+        )
         self._advice = AdviceCache(platform_services.advice_service, decisions)
         self._get_configuration = get_configuration
         self._time_limits = time_limits
@@ -197,16 +200,7 @@
 
     def find_prior_lease_expiry_s(self, worker: str) -> float:
         """Returns when all leases of earlier terms on a worker have expired."""
-        if not self.state.tasks_by_worker.get(worker):
-            return float("-inf")
-        earlier_term = self.token - 1
-        last_term = self.state.lease_terms.get(worker, earlier_term)
-        expires_at_s = self._follower.term_claims.find_lease_expiry_s(
-            self.state,
-            min(last_term, earlier_term),
-            self._time_limits.lease_s,
-        )
-        return expires_at_s + self._time_limits.stop_timeout_s
+        return self._prior_leases.find_expiry_s(worker)
 
     def _find_lease_expiry_s(self, worker: str) -> float:
         """Returns when all leases on a worker, of any term, have expired."""
@@ -269,6 +263,10 @@
         """Requests a new plan after a worker became usable."""
         self._plan_requested.set()
 
+    def on_run_begun(self, task_id: str, run: int) -> None:
+        """Collects a run that a worker has begun."""
+        self._begun_jobs.report([(task_id, run)])
+
     def on_start_refused(self, worker: str, task: Task) -> None:
         """Stops the other members of a gang after a refused start."""
         self._advice.drop_ticket(get_step_id(task.unit), worker)
@@ -284,18 +282,16 @@
         run_s: float | None,
     ) -> None:
         """Updates worker health and run time estimates after a run."""
+        if end not in NO_WORK_ENDS:
+            self.on_run_begun(task.task_id, task.run)
         job_id = task.unit.job.request.job_id
         if end is RunEndReason.DONE:
-            self._fleet.health.record_outcome(worker, job_id, ok=True)
+            self._fleet.record_outcome(worker, job_id, ok=True)
             if run_s is not None:
                 self._speed_monitor.observe_end(worker, task, run_s)
         elif end is RunEndReason.FAILED:
-            self._fleet.health.record_outcome(worker, job_id, ok=False)
+            self._fleet.record_outcome(worker, job_id, ok=False)
             self._planner_state.avoid_worker(task.unit, worker)
-            if self._fleet.health.is_at_fault(worker):
-                self._decisions.emit(
-                    Event.WORKER_QUARANTINED, worker=worker, job=job_id
-                )
 
     def on_run_stalled(self, worker: str, task: Task) -> None:
         """Stops a unit with a stalled run; its next runs avoid the worker."""
@@ -308,7 +304,11 @@
     def on_progress(
         self, worker: str, running: Mapping[str, ActiveRun]
     ) -> None:
-        """Updates the estimated speed of a worker after a poll."""
+        """Updates begun jobs, and the speed of a worker, after a poll."""
+        self._begun_jobs.report(
+            (active_run.task_id, active_run.run)
+            for active_run in running.values()
+        )
         self._speed_monitor.observe_progress(worker, running)
 
     def repeat_start(self, task: Task) -> bool:
@@ -336,7 +336,8 @@
 
     async def _renew_term(self) -> None:
         while True:
-            await self._append_to_journal([TermRenewed(self.token)])
+            begun = self._begun_jobs.make_records()
+            await self._append_to_journal([TermRenewed(self.token), *begun])
             await anyio.sleep(TERM_RENEWAL_INTERVAL_S)
 
     async def _watch_advice(self) -> None:
--- a/lagoonbeam/site/scheduler_callbacks.py
+++ b/lagoonbeam/site/scheduler_callbacks.py
@@ -58,6 +58,9 @@
     def on_run_stalled(self, worker: str, task: Task) -> None:
         """Stops a unit one of whose runs makes no progress."""
 
+    def on_run_begun(self, task_id: str, run: int) -> None:
+        """Collects a run whose start the worker has confirmed."""
+
     def on_start_refused(self, worker: str, task: Task) -> None:
         """Stops the other members of a gang after a start was refused."""
 
@@ -80,7 +83,7 @@
     def on_progress(
         self, worker: str, running: Mapping[str, ActiveRun]
     ) -> None:
-        """Updates the estimated speed of a worker after a poll.
+        """Updates begun jobs, and the speed of a worker, after a poll.
 
         Args:
             worker: The worker.
--- a/lagoonbeam/site/snapshot.py
+++ b/lagoonbeam/site/snapshot.py
@@ -55,19 +55,22 @@
     Attributes:
         request: What was accepted.
         state: Its state.
-        has_started: Whether any of its tasks was placed.
+        may_have_run: Whether it is not certain that no task ever ran.
         units: Units that were ever started.
         summary: Progress of a job whose units were dropped.
         end_position: Position in the order of ends; -1 for an open job, and
             in snapshots of earlier versions.
+        has_begun: Whether a worker has begun a task; None in snapshots of
+            earlier versions, whose `may_have_run` is set once it was placed.
     """
 
     request: JobRequest
     state: JobState
-    has_started: bool
+    may_have_run: bool
     units: tuple[_StoredUnit, ...]
     summary: JobSummary | None = None
     end_position: int = -1
+    has_begun: bool | None = None
 
 
 class _StoredWave(msgspec.Struct, array_like=True):
@@ -182,10 +185,11 @@
     return _StoredJob(
         job.request,
         job.state,
-        job.has_started,
+        job.may_have_run,
         units,
         job.summary,
         end_position,
+        job.has_begun,
     )
 
 
@@ -207,13 +211,13 @@
 def _decode_job(state: SiteState, stored: _StoredJob) -> None:
     if stored.summary is not None:
         job = SiteJob(stored.request, state=stored.state)
-        job.has_started = stored.has_started
+        _decode_begin(job, stored)
         job.summary = stored.summary
         state.add_compacted_job(job)
         return
     state.apply(JobAccepted(stored.request))
     job = state.jobs[stored.request.job_id]
-    job.has_started = stored.has_started
+    _decode_begin(job, stored)
     for stored_unit in stored.units:
         unit = job.units[stored_unit.occurrence, stored_unit.step_index][
             stored_unit.position
@@ -237,3 +241,10 @@
         job.state = stored.state
     else:
         state.end_job(job, stored.state)
+
+
+def _decode_begin(job: SiteJob, stored: _StoredJob) -> None:
+    job.may_have_run = stored.may_have_run
+    job.has_begun = (
+        stored.may_have_run if stored.has_begun is None else stored.has_begun
+    )
--- a/lagoonbeam/site/state.py
+++ b/lagoonbeam/site/state.py
@@ -12,7 +12,12 @@
 )
 from lagoonbeam.site.late_starts.late_start_index import LateStartIndex
 from lagoonbeam.site.model import JobState
-from lagoonbeam.site.records import InstanceJoined, Placement, Record
+from lagoonbeam.site.records import (
+    InstanceJoined,
+    Placement,
+    Record,
+    RunKey,
+)
 from lagoonbeam.site.state_changes import apply_record
 from lagoonbeam.site.state_model import (
     MachineLoan,
@@ -106,26 +111,34 @@
         else:
             self._waiting_units[unit.key] = unit
 
+    def list_placed_runs(self) -> frozenset[RunKey]:
+        """Returns all runs that may exist."""
+        return frozenset(
+            (task.task_id, task.run)
+            for tasks in self.tasks_by_worker.values()
+            for task in tasks.values()
+        )
+
     def count_open_jobs(self) -> int:
         """Returns the number of open jobs."""
         return len(self._open_jobs)
 
     def count_pending(self, queue: str) -> int:
-        """Returns the number of a queue's open jobs that never started."""
+        """Returns the number of a queue's open jobs that have not begun."""
         return sum(
             1
             for job in self.open_jobs()
-            if job.request.queue.name == queue and not job.has_started
+            if job.request.queue.name == queue and not job.has_begun
         )
 
     def count_pending_by_organisation(
         self,
     ) -> Counter[tuple[str, OrganisationName]]:
-        """Counts open jobs that never started, by queue and organisation."""
+        """Counts open jobs that have not begun, by queue and organisation."""
         return Counter(
             (job.request.queue.name, job.request.organisation)
             for job in self._open_jobs.values()
-            if not job.has_started
+            if not job.has_begun
         )
 
     def end_job(self, job: SiteJob, state: JobState) -> None:
--- a/lagoonbeam/site/state_changes.py
+++ b/lagoonbeam/site/state_changes.py
@@ -5,7 +5,7 @@
 import functools
 from typing import TYPE_CHECKING
 
-from lagoonbeam.site.jobs import Task, build_job
+from lagoonbeam.site.jobs import PlacementUnit, Task, build_job
 from lagoonbeam.site.model import JobState, RunEndReason
 from lagoonbeam.site.records import (
     InstanceJoined,
@@ -13,6 +13,7 @@
     JobCancelled,
     JobDropped,
     JobFailed,
+    JobsBegun,
     LeasesRenewed,
     MachineMoved,
     MachineServiced,
@@ -33,6 +34,8 @@
 if TYPE_CHECKING:
     from lagoonbeam.site.state import SiteState
 
+NO_WORK_ENDS = (RunEndReason.NEVER_STARTED, RunEndReason.PEERS_MISSING)
+"""Ends of runs in which no work was done."""
 MAX_CANCELLED_IDS = 4_000
 """Identifiers that were cancelled without a job; the oldest are dropped."""
 MAX_KNOWN_CLAIMS = 100
@@ -79,10 +82,18 @@
         state.end_job(job, JobState.FAILED)
 
 
+@apply_record.register(JobsBegun)
+def _(record: JobsBegun, state: SiteState) -> None:
+    for job_id in record.job_ids:
+        job = state.jobs.get(job_id)
+        if job is not None:
+            job.mark_begun()
+
+
 @apply_record.register(JobDropped)
 def _(record: JobDropped, state: SiteState) -> None:
     job = state.jobs.get(record.job_id)
-    if job is not None and not job.has_started:
+    if job is not None and job.has_certainly_not_run:
         state.end_job(job, JobState.DID_NOT_RUN)
 
 
@@ -161,10 +172,6 @@
         state.set_placement(task, placement)
         state.lease_terms[placement.worker] = state.term.number
         state.refresh_waiting(task.unit)
-        job = task.unit.job
-        job.has_started = True
-        if job.state is JobState.QUEUED:
-            job.state = JobState.RUNNING
 
 
 @apply_record.register(SpeedsEstimated)
@@ -185,16 +192,30 @@
         state.refresh_waiting(task.unit)
 
 
+def _shows_work(unit: PlacementUnit, end: RunEnd) -> bool:
+    """Whether the end of a run shows that a worker had begun it.
+
+    A member of a gang is also stopped, or broken, while it waits for others.
+    """
+    return end.end in (RunEndReason.DONE, RunEndReason.FAILED) or (
+        end.end is RunEndReason.STOPPED and not unit.spec.is_gang
+    )
+
+
 def _apply_run_end(state: SiteState, task: Task, end: RunEnd) -> None:
     unit = task.unit
     state.clear_placement(task)
+    if _shows_work(unit, end):
+        unit.job.mark_begun()
+    elif end.end not in NO_WORK_ENDS or end.late_start_ms > 0:
+        unit.job.may_have_run = True
     if end.checkpoint:
         unit.checkpoint = end.checkpoint
     if end.end is RunEndReason.FAILED and unit.last_failed_run != end.run:
         unit.last_failed_run = end.run if unit.spec.is_gang else 0
         unit.failures += 1
         unit.job.update_unit_with_most_failures(unit)
-    if end.end in (RunEndReason.NEVER_STARTED, RunEndReason.PEERS_MISSING):
+    if end.end in NO_WORK_ENDS:
         unit.last_aborted_run = end.run
     elif (
         unit.job.request.runs_once
--- a/lagoonbeam/site/termination.py
+++ b/lagoonbeam/site/termination.py
@@ -109,7 +109,7 @@
             start_limit_s = job.request.start_within_s
             if (
                 start_limit_s
-                and not job.has_started
+                and job.has_certainly_not_run
                 and now_s - job.request.accepted_at_s > start_limit_s
                 and not self._planner_state.is_launching(job)
             ):
--- a/tests/site/test_state.py
+++ b/tests/site/test_state.py
@@ -13,6 +13,7 @@
     JobCancelled,
     JobDropped,
     JobFailed,
+    JobsBegun,
     Placement,
     RunEnd,
     RunsEnded,
@@ -49,6 +50,7 @@
     first, second = accept_job(state, make_job("a", Step(count=2)))
     for unit in (first, second):
         record_placement(state, unit, "w0")
+        state.apply(JobsBegun(("a",)))
         assert state.jobs["a"].state is JobState.RUNNING
         end_run(state, unit.key, 1, RunEndReason.DONE)
     assert state.jobs["a"].state is JobState.COMPLETED
@@ -236,6 +238,7 @@
     accept_job(state, make_job("a"))
     (started_unit,) = accept_job(state, make_job("b"))
     record_placement(state, started_unit, "w0")
+    state.apply(JobsBegun(("b",)))
     for job_id in "ab":
         state.apply(JobDropped(job_id))
     assert state.jobs["a"].state is JobState.DID_NOT_RUN
