Let callers reach the jobs of their own queue and organisation only

Cause: jobs were known by their identifier alone; the platform's interface compared neither queue nor organisation with those of the job.

Change: each call has a scope (queue and organisation; the whole queue on a public route). Jobs outside are unknown (410) to reads and cancellations; a submission under the identifier of one is refused (503), also when the other was accepted elsewhere just before. The record of a cancellation holds the scope, so one that arrives before the acceptance cancels its caller's job only.

Evidence: tests/site/test_job_scope.py; on the code before, with a copy of the new type beside it, the reads, cancellations, submissions and early cancellations of foreign callers failed.

--- a/harness/incident_mutations.py
+++ b/harness/incident_mutations.py
@@ -59,7 +59,7 @@
     Mutation(
         "site: a cancelled identifier stays cancelled",
         "lagoonbeam/site/state_changes.py",
-        "    if request.job_id in state.cancelled_ids:",
+        "    if any(scope.covers(request) for scope in scopes):",
         "    if False:",
         "tests/site/test_job_service.py"
         "::test_acceptance_that_follows_its_cancellation_does_not_run",
--- a/harness/site_mutations.py
+++ b/harness/site_mutations.py
@@ -36,6 +36,31 @@
         "    if job is not None:",
         "tests/site/test_state.py::test_started_job_is_not_dropped",
     ),
+    Mutation(
+        "site: callers reach their own jobs only",
+        "lagoonbeam/site/job_scope.py",
+        "        return self.queue in",
+        "        return True or self.queue in",
+        "tests/site/test_job_scope.py"
+        "::test_foreign_caller_sees_and_cancels_no_job",
+    ),
+    Mutation(
+        "site: a foreign cancellation has no effect",
+        "lagoonbeam/site/state_changes.py",
+        "        if record.scope.covers(job.request):",
+        "        if True:",
+        "tests/site/test_job_scope.py"
+        "::test_jobs_are_cancelled_by_their_own_callers_only",
+    ),
+    Mutation(
+        "site: the identifier of a foreign job is refused",
+        "lagoonbeam/site/job_service.py",
+        "        if job is not None and not scope.covers(job.request):\n"
+        "            raise JobIdInUseError(",
+        "        if False:\n            raise JobIdInUseError(",
+        "tests/site/test_job_scope.py"
+        "::test_identifier_of_a_foreign_job_is_no_repeat",
+    ),
     Mutation(
         "site: a placement is no begin",
         "lagoonbeam/site/state_changes.py",
--- a/lagoonbeam/site/job_api.py
+++ b/lagoonbeam/site/job_api.py
@@ -30,6 +30,7 @@
     UnknownKindError,
 )
 from lagoonbeam.site.decision_log import DecisionLog
+from lagoonbeam.site.job_scope import JobScope
 from lagoonbeam.site.job_service import JobService
 from lagoonbeam.site.jobs import SiteJob, make_fingerprint
 from lagoonbeam.site.model import JobRequest, JobState, Organisation
@@ -176,8 +177,11 @@
             ),
         )
         try:
-            await self._service.submit(job_request, timeout_s=SUBMIT_TIMEOUT_S)
-            entry = await self._service.get_job(job_request.job_id)
+            scope = JobScope(organisation=organisation.name)
+            await self._service.submit(
+                job_request, scope, timeout_s=SUBMIT_TIMEOUT_S
+            )
+            entry = await self._service.get_job(job_request.job_id, scope)
         except LagoonbeamError as error:
             return self._make_problem_response(
                 request, error, job_request.job_id
@@ -191,10 +195,11 @@
         return await self._wait_and_report(request, entry, wait_s)
 
     async def _cancel_job(self, request: Request, job_id: str) -> Response:
-        await self._get_visible_job(request, job_id)
-        await self._service.cancel(job_id, timeout_s=SUBMIT_TIMEOUT_S)
+        entry = await self._get_visible_job(request, job_id)
+        scope = JobScope(organisation=entry.request.organisation)
+        await self._service.cancel(job_id, scope, timeout_s=SUBMIT_TIMEOUT_S)
         await self._service.catch_up()
-        entry = await self._service.get_job(job_id)
+        entry = await self._service.get_job(job_id, scope)
         return await self._wait_and_report(request, entry, 0.0)
 
     async def _list_jobs(self, request: Request, _: str) -> Response:
@@ -217,7 +222,8 @@
                 organisation.
         """
         organisation = self._authenticate(request)
-        entry = await self._service.get_job(job_id)
+        scope = JobScope(organisation=organisation.name)
+        entry = await self._service.get_job(job_id, scope)
         if entry.request.organisation != organisation.name:
             raise UnknownJobError(f"job {job_id!r} is not known")
         return entry
@@ -227,13 +233,14 @@
     ) -> Response:
         """Waits for a job's outcome; less if others need the connection."""
         job_id = entry.request.job_id
+        scope = JobScope(organisation=entry.request.organisation)
         deadline_s = time.monotonic() + wait_s
         while entry.is_open and not self._service.is_draining:
-            with request.move_on_after(deadline_s - time.monotonic()) as scope:
+            with request.move_on_after(deadline_s - time.monotonic()) as wait:
                 await self._service.wait_for_change()
-            if scope.cancelled_caught:
+            if wait.cancelled_caught:
                 break
-            entry = await self._service.get_job(job_id)
+            entry = await self._service.get_job(job_id, scope)
         status = 202 if entry.is_open else 200
         return _make_json_response(make_job_report(entry), status)
 
--- a/lagoonbeam/site/job_service.py
+++ b/lagoonbeam/site/job_service.py
@@ -17,6 +17,7 @@
 )
 from lagoonbeam.site.decision_log import DecisionLog
 from lagoonbeam.site.events import Event
+from lagoonbeam.site.job_scope import JobIdInUseError, JobScope
 from lagoonbeam.site.jobs import SiteJob
 from lagoonbeam.site.journal_appender import JournalAppender
 from lagoonbeam.site.journal_follower import JournalFollower
@@ -35,6 +36,8 @@
 jobs must be visible on all instances after 3 s."""
 RETRY_AFTER_S = 1.0
 """Delay after which refused callers are asked to retry."""
+IN_USE_RETRY_S = 60.0
+"""Delay after which a caller whose identifier is in use is asked to retry."""
 REFRESH_TIMEOUT_S = 0.3
 """Time to read the newest records before the state of an open job is told; the
 replica's own state is told after that."""
@@ -156,24 +159,33 @@
             )
 
     async def submit(
-        self, job_request: JobRequest, *, timeout_s: float
+        self, job_request: JobRequest, scope: JobScope, *, timeout_s: float
     ) -> None:
         """Accepts a job, unless it has been accepted before.
 
+        Args:
+            job_request: The job.
+            scope: The jobs that the caller may reach.
+            timeout_s: Time to store it.
+
         Raises:
+            JobIdInUseError: If another caller's job has its identifier.
             NotReadyError: If the queue or key may have been removed by now.
             LogUnavailableError: If the job was not stored and will not be.
             LogAppendUnconfirmedError: If the job may have been stored.
         """
-        if job_request.job_id in self._follower.state.jobs:
+        if self._is_known_in(scope, job_request.job_id):
             self._decisions.emit(Event.JOB_REPEATED, job=job_request.job_id)
             return
         self.check_configuration_age()
         self._check_store_responsive()
         started_s = time.monotonic()
-        await self._appender.append(
+        end_offset = await self._appender.append(
             [JobAccepted(job_request)], timeout_s=timeout_s
         )
+        # The first acceptance of an identifier counts.
+        await self._follower.wait_for_offset(end_offset, REFRESH_TIMEOUT_S)
+        self._is_known_in(scope, job_request.job_id)
         taken_s = time.monotonic() - started_s
         self._decisions.metrics.acceptance_latency_s.observe(taken_s)
         self._decisions.emit(
@@ -191,50 +203,84 @@
             taken_s=round(taken_s, 3),
         )
 
-    async def cancel(self, job_id: str, *, timeout_s: float) -> None:
+    def _is_known_in(self, scope: JobScope, job_id: str) -> bool:
+        """Whether a caller's job is known.
+
+        Raises:
+            JobIdInUseError: If another caller's job is known under the
+                identifier.
+        """
+        job = self._follower.state.jobs.get(job_id)
+        if job is not None and not scope.covers(job.request):
+            raise JobIdInUseError(
+                f"the identifier {job_id} cannot be used",
+                retry_after_s=IN_USE_RETRY_S,
+            )
+        return job is not None
+
+    async def cancel(
+        self, job_id: str, scope: JobScope, *, timeout_s: float
+    ) -> None:
         """Cancels a job, whether or not its acceptance has been read yet.
 
         An identifier without a job stays cancelled, since the acceptance may
         still be on its way to the store.
 
+        Args:
+            job_id: The job.
+            scope: The jobs that the caller may reach.
+            timeout_s: Time to store the cancellation.
+
         Raises:
-            UnknownJobError: If there is no such job.
+            UnknownJobError: If there is no such job in the scope.
             NotReadyError: If the queue or key may have been removed by now.
             LogUnavailableError: If the job was not cancelled.
             LogAppendUnconfirmedError: If the job may have been cancelled.
         """
         self.check_configuration_age()
+        self._find_job(job_id, scope)
         self._check_store_responsive()
         end_offset = await self._appender.append(
-            [JobCancelled(job_id)], timeout_s=timeout_s
+            [JobCancelled(job_id, scope)], timeout_s=timeout_s
         )
         self._decisions.emit(Event.JOB_CANCELLED, job=job_id)
         if (
-            job_id not in self._follower.state.jobs
+            self._find_job(job_id, scope) is None
             and await self._follower.wait_for_offset(
                 end_offset, CATCH_UP_TIMEOUT_S
             )
-            and job_id not in self._follower.state.jobs
+            and self._find_job(job_id, scope) is None
         ):
             raise UnknownJobError(f"unknown job {job_id}")
 
-    async def get_job_state(self, job_id: str) -> JobState:
+    def _find_job(self, job_id: str, scope: JobScope) -> SiteJob | None:
+        """Returns a job, or None if none is known under the identifier.
+
+        Raises:
+            UnknownJobError: If the job is not in the scope.
+        """
+        job = self._follower.state.jobs.get(job_id)
+        if job is not None and not scope.covers(job.request):
+            raise UnknownJobError(f"unknown job {job_id}")
+        return job
+
+    async def get_job_state(self, job_id: str, scope: JobScope) -> JobState:
         """Returns the state of a job.
 
         Raises:
-            UnknownJobError: If there is no such job.
+            UnknownJobError: If there is no such job in the scope.
             NotReadyError: If the state replica is too old.
         """
-        return (await self.get_job(job_id)).state
+        return (await self.get_job(job_id, scope)).state
 
-    async def get_job(self, job_id: str) -> SiteJob:
+    async def get_job(self, job_id: str, scope: JobScope) -> SiteJob:
         """Returns a job.
 
         A job that has ended is returned whatever the age of the replica, since
         its state is final.
 
         Raises:
-            UnknownJobError: If there is no such job.
+            UnknownJobError: If there is no such job in the scope.
             NotReadyError: If the state replica is too old, or it has no such
                 job and the newest records cannot be read.
         """
@@ -242,10 +288,10 @@
             job_id in self._follower.state.jobs
             or await self._follower.catch_up(CATCH_UP_TIMEOUT_S)
         )
-        job = self._follower.state.jobs.get(job_id)
+        job = self._find_job(job_id, scope)
         if job is not None and job.is_open:
             await self._follower.refresh(REFRESH_TIMEOUT_S)
-            job = self._follower.state.jobs.get(job_id)
+            job = self._find_job(job_id, scope)
         if job is not None and not job.is_open:
             return job
         self._check_state_age()
--- a/lagoonbeam/site/records.py
+++ b/lagoonbeam/site/records.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from lagoonbeam.errors import MalformedDataError
+from lagoonbeam.site.job_scope import JobScope
 from lagoonbeam.site.model import JobRequest, RunEndReason
 
 MAX_PLACEMENTS_PER_RECORD = 500
@@ -41,9 +42,10 @@
 
 
 class JobCancelled(_Record, frozen=True, tag="cancel"):
-    """A caller cancelled a job."""
+    """A caller cancelled a job; ignored if the job is not in its scope."""
 
     job_id: str
+    scope: JobScope = JobScope()
 
 
 class JobFailed(_Record, frozen=True, tag="fail"):
--- a/lagoonbeam/site/snapshot.py
+++ b/lagoonbeam/site/snapshot.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from lagoonbeam.errors import MalformedDataError
+from lagoonbeam.site.job_scope import JobScope
 from lagoonbeam.site.jobs import JobSummary, PlacementUnit, SiteJob
 from lagoonbeam.site.late_starts.late_start_index import LateStart
 from lagoonbeam.site.model import JobRequest, JobState
@@ -93,6 +94,7 @@
     cancelled_ids: tuple[str, ...] = ()
     speed_estimates: SpeedsEstimated = SpeedsEstimated()
     late_starts: tuple[LateStart, ...] = ()
+    cancelled_scopes: dict[str, tuple[JobScope, ...]] = {}
 
 
 _ENCODER = msgspec.msgpack.Encoder()
@@ -128,11 +130,12 @@
             state.lease_terms,
             state.renewal_count,
             state.renewals_at_claim,
-            tuple(state.cancelled_ids),
+            tuple(state.cancelled_scopes),
             SpeedsEstimated(
                 state.speed_estimates.speeds, state.speed_estimates.run_times_s
             ),
             tuple(state.late_starts),
+            state.cancelled_scopes,
         )
     )
 
@@ -168,7 +171,11 @@
     state.lease_terms.update(stored.lease_terms)
     state.renewal_count = stored.renewal_count
     state.renewals_at_claim = dict(stored.renewals_at_claim)
-    state.cancelled_ids = dict.fromkeys(stored.cancelled_ids)
+    # Snapshots of earlier versions name no scopes.
+    state.cancelled_scopes = {
+        job_id: stored.cancelled_scopes.get(job_id, (JobScope(),))
+        for job_id in stored.cancelled_ids
+    }
     state.apply(stored.speed_estimates)
     for late_start in stored.late_starts:
         state.late_starts.add(late_start)
--- a/lagoonbeam/site/state.py
+++ b/lagoonbeam/site/state.py
@@ -5,6 +5,7 @@
 from collections import Counter, defaultdict
 from collections.abc import Iterator
 
+from lagoonbeam.site.job_scope import JobScope
 from lagoonbeam.site.jobs import (
     PlacementUnit,
     SiteJob,
@@ -38,8 +39,8 @@
 
     Attributes:
         tasks_by_worker: Tasks of which a run may exist, by worker and task.
-        cancelled_ids: Identifiers, oldest first, that were cancelled before
-            a job was accepted under them.
+        cancelled_scopes: Identifiers, oldest first, that were cancelled before
+            a job was accepted under them, with the scopes of the callers.
         lease_terms: For each worker with placed runs, the last term that may
             have granted leases to it.
         renewal_count: Number of renewals of terms, without the first of each.
@@ -56,7 +57,7 @@
         self.tasks: dict[str, Task] = {}
         self.instances: dict[str, InstanceJoined] = {}
         self.tasks_by_worker: dict[str, dict[str, Task]] = defaultdict(dict)
-        self.cancelled_ids: dict[str, None] = {}
+        self.cancelled_scopes: dict[str, tuple[JobScope, ...]] = {}
         self.lease_terms: dict[str, int] = {}
         self.renewal_count = 0
         self.renewals_at_claim: dict[int, int] = {}
--- a/lagoonbeam/site/state_changes.py
+++ b/lagoonbeam/site/state_changes.py
@@ -38,6 +38,8 @@
 """Ends of runs in which no work was done."""
 MAX_CANCELLED_IDS = 4_000
 """Identifiers that were cancelled without a job; the oldest are dropped."""
+MAX_SCOPES_PER_ID = 16
+"""Scopes that are kept of one such identifier; the oldest are dropped."""
 MAX_KNOWN_CLAIMS = 100
 """Newest claims of terms that are kept to bound the age of leases."""
 
@@ -59,8 +61,8 @@
         return
     job = build_job(request)
     state.add_job(job)
-    if request.job_id in state.cancelled_ids:
-        del state.cancelled_ids[request.job_id]
+    scopes = state.cancelled_scopes.pop(request.job_id, ())
+    if any(scope.covers(request) for scope in scopes):
         state.end_job(job, JobState.CANCELLED)
 
 
@@ -68,11 +70,15 @@
 def _(record: JobCancelled, state: SiteState) -> None:
     job = state.jobs.get(record.job_id)
     if job is not None:
-        state.end_job(job, JobState.CANCELLED)
+        if record.scope.covers(job.request):
+            state.end_job(job, JobState.CANCELLED)
         return
-    state.cancelled_ids[record.job_id] = None
-    if len(state.cancelled_ids) > MAX_CANCELLED_IDS:
-        del state.cancelled_ids[next(iter(state.cancelled_ids))]
+    known_scopes = state.cancelled_scopes.get(record.job_id, ())
+    if record.scope not in known_scopes:
+        scopes = (*known_scopes, record.scope)[-MAX_SCOPES_PER_ID:]
+        state.cancelled_scopes[record.job_id] = scopes
+    if len(state.cancelled_scopes) > MAX_CANCELLED_IDS:
+        del state.cancelled_scopes[next(iter(state.cancelled_scopes))]
 
 
 @apply_record.register(JobFailed)
--- a/tests/site/test_job_service.py
+++ b/tests/site/test_job_service.py
@@ -13,6 +13,7 @@
     UnknownQueueError,
 )
 from lagoonbeam.site.decision_log import DecisionLog
+from lagoonbeam.site.job_scope import JobScope
 from lagoonbeam.site.job_service import JobService
 from lagoonbeam.site.journal_appender import JournalAppender
 from lagoonbeam.site.journal_follower import JournalFollower
@@ -30,6 +31,7 @@
 
 APPLY_S = 2.0
 HOST = "jobs.example"
+SCOPE = JobScope("q1", "armor")
 
 
 pytestmark = pytest.mark.anyio
@@ -111,7 +113,7 @@
 ) -> None:
     age_configuration(service)
     with pytest.raises(NotReadyError):
-        await service.submit(make_job("j1"), timeout_s=1.0)
+        await service.submit(make_job("j1"), SCOPE, timeout_s=1.0)
     assert not store.records
 
 
@@ -122,7 +124,7 @@
     follower.last_synced_s = read_boot_time_s()
     age_configuration(service)
     with pytest.raises(NotReadyError):
-        await service.cancel("j1", timeout_s=1.0)
+        await service.cancel("j1", SCOPE, timeout_s=1.0)
     assert not store.records
 
 
@@ -134,9 +136,9 @@
     follower.last_synced_s = read_boot_time_s()
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(service._appender.run)
-        await service.cancel("j1", timeout_s=1.0)
+        await service.cancel("j1", SCOPE, timeout_s=1.0)
         tasks.cancel_scope.cancel()
-    assert decode_record(store.records[-1]) == JobCancelled("j1")
+    assert decode_record(store.records[-1]) == JobCancelled("j1", SCOPE)
 
 
 async def test_acceptance_that_follows_its_cancellation_does_not_run(
@@ -145,7 +147,7 @@
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(service._appender.run)
         with pytest.raises(UnknownJobError):
-            await service.cancel("j1", timeout_s=1.0)
+            await service.cancel("j1", SCOPE, timeout_s=1.0)
         tasks.cancel_scope.cancel()
     follower.state = decode_state(encode_state(follower.state))
     follower.state.apply(JobAccepted(make_job("j1")))
@@ -158,7 +160,7 @@
 ) -> None:
     follower.last_synced_s = read_boot_time_s()
     with pytest.raises(NotReadyError):
-        await service.get_job("j1")
+        await service.get_job("j1", SCOPE)
 
 
 def test_jobs_of_a_queue_that_may_have_been_removed_are_not_counted(
--- a/tests/site/test_journal_follower.py
+++ b/tests/site/test_journal_follower.py
@@ -8,6 +8,7 @@
 from lagoonbeam.errors import LogTruncatedError, MalformedDataError
 from lagoonbeam.site import journal_follower as follower_module
 from lagoonbeam.site.decision_log import DecisionLog
+from lagoonbeam.site.job_scope import JobScope
 from lagoonbeam.site.job_service import JobService
 from lagoonbeam.site.journal_appender import JournalAppender
 from lagoonbeam.site.journal_follower import JournalFollower
@@ -114,7 +115,7 @@
         await replica.follower.wait_for_offset(1, 2.0)
         replica.store.store_record(JobCancelled("a"))
         with anyio.fail_after(0.2):
-            state = await replica.service.get_job_state("a")
+            state = await replica.service.get_job_state("a", JobScope())
         assert state is JobState.CANCELLED
         tasks.cancel_scope.cancel()
 
