List late starts that arrive before a restart can be noticed

Cause: a task gives way 0.6 s after its late start's worker fell silent, or with the next poll; a start that arrives sooner after a restart begins beside the next run.

--- a/tests/site/test_late_starts_next_run.py
+++ b/tests/site/test_late_starts_next_run.py
@@ -130,6 +130,27 @@
     assert play(monkeypatch, scenario).overlaps == []
 
 
+@pytest.mark.parametrize("is_cut", [True, False], ids=["cut", "not cut"])
+@pytest.mark.parametrize("notice_s", [0.3, 0.02])
+def test_next_run_gives_way_to_a_late_start_right_after_a_restart(
+    monkeypatch: pytest.MonkeyPatch, notice_s: float, is_cut: bool
+) -> None:
+    """The late start arrives before anybody can notice the restart."""
+
+    async def scenario(site: WorkerSite) -> None:
+        step = Step(accelerators=8, estimated_s=60.0)
+        cut = await send_refused_start(site, step)
+        restart_s = LATE_S - notice_s
+        if is_cut:
+            await cut.cut_and_restart(restart_s - 0.01, restart_s)
+        else:
+            await cut.wait_until(restart_s)
+            cut.first.restart()
+        await anyio.sleep(5.0)
+
+    assert play(monkeypatch, scenario).overlaps == []
+
+
 @pytest.mark.parametrize("takeover_s", [2.0, 4.0, 5.5])
 def test_later_term_knows_the_late_starts_of_an_earlier_one(
     monkeypatch: pytest.MonkeyPatch, takeover_s: float
