Bound the check of an identifier by the time that the caller left

Cause: after an acceptance was stored, the instance waited up to 0.3 s to read whether another caller's job came first, whatever was left of the caller's time; the answer could come after the deadline.

Change: the wait ends with the time that the submission was given.

Evidence: test_acceptance_is_confirmed_within_its_time_by_a_late_replica failed before (no answer within 0.25 s for a limit of 0.1 s) and passes.

--- a/lagoonbeam/site/job_service.py
+++ b/lagoonbeam/site/job_service.py
@@ -38,6 +38,9 @@
 """Delay after which refused callers are asked to retry."""
 IN_USE_RETRY_S = 60.0
 """Delay after which a caller whose identifier is in use is asked to retry."""
+IDENTIFIER_CHECK_S = 0.3
+"""Time to read the records before an acceptance, any of which may be another
+caller's under the same identifier."""
 REFRESH_TIMEOUT_S = 0.3
 """Time to read the newest records before the state of an open job is told; the
 replica's own state is told after that."""
@@ -166,7 +169,8 @@
         Args:
             job_request: The job.
             scope: The jobs that the caller may reach.
-            timeout_s: Time to store it.
+            timeout_s: Time to store it, and to tell whether another caller's
+                job came first.
 
         Raises:
             JobIdInUseError: If another caller's job has its identifier.
@@ -184,7 +188,10 @@
             [JobAccepted(job_request)], timeout_s=timeout_s
         )
         # The first acceptance of an identifier counts.
-        await self._follower.wait_for_offset(end_offset, REFRESH_TIMEOUT_S)
+        left_s = timeout_s - (time.monotonic() - started_s)
+        await self._follower.wait_for_offset(
+            end_offset, max(0.0, min(left_s, IDENTIFIER_CHECK_S))
+        )
         self._is_known_in(scope, job_request.job_id)
         taken_s = time.monotonic() - started_s
         self._decisions.metrics.acceptance_latency_s.observe(taken_s)
--- a/tests/site/test_job_scope.py
+++ b/tests/site/test_job_scope.py
@@ -79,8 +79,13 @@
 
 @dataclass
 class Instance:
-    """An instance whose journal is in memory."""
+    """An instance whose journal is in memory.
 
+    Attributes:
+        following: Cancels the reads of the journal.
+    """
+
+    following: anyio.CancelScope
     store: FakeJournalStore
     follower: JournalFollower
     service: JobService
@@ -114,10 +119,16 @@
     service.configuration_synced_s = read_boot_time_s()
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(appender.run)
-        tasks.start_soon(follower.run)
+        following = anyio.CancelScope()
+
+        async def follow() -> None:
+            with following:
+                await follower.run()
+
+        tasks.start_soon(follow)
         assert await follower.catch_up(5.0)
         api = PlatformJobApi(service, decisions)
-        yield Instance(store, follower, service, api)
+        yield Instance(following, store, follower, service, api)
         tasks.cancel_scope.cancel()
 
 
@@ -170,6 +181,21 @@
         assert instance.state.jobs[JOB_ID].request.organisation == "armor"
 
 
+async def test_acceptance_is_confirmed_within_its_time_by_a_late_replica() -> (
+    None
+):
+    """The check of the identifier must not outlast the caller's deadline."""
+    store = FakeJournalStore()
+    async with open_instance(store) as instance:
+        instance.following.cancel()
+        store.records.append(encode_record(JobAccepted(make_job("b" * 16))))
+        with anyio.fail_after(0.25):
+            await instance.service.submit(
+                make_job(JOB_ID), OWNER, timeout_s=0.1
+            )
+    assert store.records
+
+
 async def test_callers_of_a_public_route_reach_the_jobs_of_its_queue() -> None:
     async with open_instance(is_public=True) as instance:
         for organisation in ("", "armor", "beam"):
