Count only runs that no worker has listed as starts in doubt after a takeover

Cause: all runs of earlier terms counted as unanswered when they ended within 12 s of a takeover, also those that their workers listed.

Change: a run of an earlier term counts as unanswered only if its end is presumed and its worker has not listed it.

--- a/lagoonbeam/site/termination.py
+++ b/lagoonbeam/site/termination.py
@@ -80,7 +80,7 @@
             if (task := tasks.get(end.task_id)) is not None
             and task.unit.job.is_open
         }
-        marked_ends = self._unanswered_starts.mark_late_starts(ends)
+        marked_ends = self._unanswered_starts.mark_late_starts(ends, evidence)
         if not await self._append_to_journal([RunsEnded(tuple(marked_ends))]):
             return False
         self._unanswered_starts.discard_ended(ends)
--- a/lagoonbeam/site/unconfirmed_orders.py
+++ b/lagoonbeam/site/unconfirmed_orders.py
@@ -13,11 +13,17 @@
 
 import msgspec
 
-from lagoonbeam.site.model import RunEndReason
+from lagoonbeam.site.model import EndEvidence
 from lagoonbeam.site.records import RunEnd, RunKey
 
 TOKENS_PER_TERM = 1000
 """Fencing tokens of one term: its number and those up to the next term's."""
+UNSEEN_RUN_EVIDENCE = (
+    EndEvidence.LEASES_EXPIRED,
+    EndEvidence.NO_SESSION,
+    EndEvidence.STOP_CONFIRMED,
+)
+"""Evidence for the end of runs that the term may never have seen."""
 
 
 def get_next_term(term: int) -> int:
@@ -58,8 +64,8 @@
     Args:
         max_delay_s: Longest time after which an order that got no answer is
             carried out.
-        inherited_runs: Runs that earlier terms placed; whether their starts
-            were answered is not known.
+        inherited_runs: Runs that earlier terms placed. If their workers list
+            none of them, their starts may have got no answer.
     """
 
     def __init__(
@@ -74,23 +80,33 @@
         """Records that a start of a run got no answer until now."""
         self._given_up_at_s[run_key] = time.monotonic()
 
-    def mark_late_starts(self, ends: Sequence[RunEnd]) -> list[RunEnd]:
-        """Returns ends of runs that say how long a start may still arrive."""
+    def mark_late_starts(
+        self, ends: Sequence[RunEnd], evidence: EndEvidence | None = None
+    ) -> list[RunEnd]:
+        """Returns ends of runs that say how long a start may still arrive.
+
+        Args:
+            ends: The ends.
+            evidence: Why the runs have ended; None if their worker listed the
+                ends.
+        """
         now_s = time.monotonic()
         return [
             msgspec.structs.replace(
                 end,
                 late_start_ms=math.ceil(
-                    self._get_remaining_s(end, now_s) * 1e3
+                    self._get_remaining_s(end, evidence, now_s) * 1e3
                 ),
             )
             for end in ends
         ]
 
-    def _get_remaining_s(self, end: RunEnd, now_s: float) -> float:
+    def _get_remaining_s(
+        self, end: RunEnd, evidence: EndEvidence | None, now_s: float
+    ) -> float:
         run_key = (end.task_id, end.run)
         given_up_at_s = self._given_up_at_s.get(run_key, float("-inf"))
-        if run_key in self._inherited_runs and end.end is not RunEndReason.DONE:
+        if run_key in self._inherited_runs and evidence in UNSEEN_RUN_EVIDENCE:
             given_up_at_s = max(given_up_at_s, self._created_at_s)
         return max(0.0, given_up_at_s + self._max_delay_s - now_s)
 
