--- a/tests/site/test_late_start_index.py
+++ b/tests/site/test_late_start_index.py
@@ -3,13 +3,14 @@
 from __future__ import annotations
 
 import msgspec
+import pytest
 
 from lagoonbeam.site.late_starts.late_start_index import (
     RETENTION_S,
     LateStart,
     count_renewals,
 )
-from lagoonbeam.site.model import RunEndReason
+from lagoonbeam.site.model import EndEvidence, RunEndReason
 from lagoonbeam.site.records import (
     RunEnd,
     RunsEnded,
@@ -20,6 +21,7 @@
 )
 from lagoonbeam.site.snapshot import decode_state, encode_state
 from lagoonbeam.site.state import SiteState
+from lagoonbeam.site.unconfirmed_orders import UnansweredStarts
 from tests.site.builders import accept_job, make_job, record_placement
 
 DELAY_S = 12.0
@@ -85,3 +87,31 @@
     tag, ends = msgspec.msgpack.decode(encode_record(record))
     data = msgspec.msgpack.encode([tag, [end[:4] for end in ends]])
     assert decode_record(data) == record
+
+
+@pytest.mark.parametrize(
+    ("evidence", "is_late"),
+    [
+        (None, False),
+        (EndEvidence.RESTARTED, False),
+        (EndEvidence.STOP_CONFIRMED, True),
+        (EndEvidence.NO_SESSION, True),
+    ],
+)
+def test_run_of_an_earlier_term_that_its_worker_listed_leaves_no_late_start(
+    evidence: EndEvidence | None, is_late: bool
+) -> None:
+    """After a takeover, all that ended for whatever reason gave way."""
+    unanswered = UnansweredStarts(DELAY_S, frozenset({("a.0.0.0", 1)}))
+    end = RunEnd("a.0.0.0", 1, RunEndReason.STOPPED)
+    (marked,) = unanswered.mark_late_starts([end], evidence)
+    assert (marked.late_start_ms > 0) == is_late
+
+
+def test_start_without_an_answer_is_late_whatever_its_worker_lists() -> None:
+    """The run may have been begun by a repeat, with the first on its way."""
+    unanswered = UnansweredStarts(DELAY_S)
+    unanswered.record(("a.0.0.0", 1))
+    ends = [RunEnd("a.0.0.0", run, RunEndReason.STOPPED) for run in (1, 2)]
+    marked = unanswered.mark_late_starts(ends)
+    assert [end.late_start_ms > 0 for end in marked] == [True, False]
