Look for late starts once a plan, and let the session tests' fake finish orders

Cause: each ready unit of a plan was asked for late starts, and each poll computed their sets, also when there are none, which is nearly always.

Change: a plan asks once whether there is any late start; a session without any does nothing.

Traced: the fake worker closes the session with the poll after the last, which races with a stop that takes a millisecond; a pause of 3 ms before the stop fails it, and two others, on as well. The fake now waits 50 ms before it closes the session, and with the same pause all pass; the checks are the same.

Result: tests/site passes.

--- a/lagoonbeam/site/late_starts/late_start_refusals.py
+++ b/lagoonbeam/site/late_starts/late_start_refusals.py
@@ -71,6 +71,9 @@
             sent_s: Monotonic time at which it was asked for them.
         """
         late_starts = self._list_late_starts()
+        if not late_starts:
+            self._refused.clear()
+            return
         run_keys = {late_start.run_key for late_start in late_starts}
         self._refused &= run_keys
         self._settled &= run_keys
--- a/lagoonbeam/site/planner_state.py
+++ b/lagoonbeam/site/planner_state.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
 from dataclasses import dataclass
 
 from lagoonbeam.core.clock import Clock
@@ -12,6 +11,7 @@
 from lagoonbeam.site.decision_log import DecisionLog
 from lagoonbeam.site.events import Event
 from lagoonbeam.site.jobs import PlacementUnit, SiteJob
+from lagoonbeam.site.late_starts.late_start_guard import LateStartGuard
 from lagoonbeam.site.placement import Assignment
 from lagoonbeam.site.policies import Policies, make_policies
 from lagoonbeam.site.release_times import ReleaseTimes
@@ -43,7 +43,7 @@
         advice: Tickets of the advice service; None if there is none.
         policies: The policies in force; the defaults if None.
         clock: Source of wall clock and steady time.
-        may_place: Whether no late start keeps a unit from running.
+        late_start_guard: Knows which units late starts keep from running.
     """
 
     def __init__(
@@ -53,11 +53,11 @@
         *,
         policies: Policies | None = None,
         clock: Clock | None = None,
-        may_place: Callable[[PlacementUnit], bool] = lambda unit: True,
+        late_start_guard: LateStartGuard | None = None,
     ):
         self.policies = policies or make_policies()
         self.clock = clock or Clock()
-        self.may_place = may_place
+        self.late_start_guard = late_start_guard
         speed_log = SpeedLog(decisions)
         self.worker_speeds = WorkerSpeeds(speed_log.report_change)
         self.run_progress = RunProgressTracker(speed_log.report_invalid)
--- a/lagoonbeam/site/ready_queue.py
+++ b/lagoonbeam/site/ready_queue.py
@@ -71,6 +71,9 @@
         launching_assignments = self._planner_state.launching_assignments
         is_ready_by_step: dict[tuple[str, int, int], bool] = {}
         ready_units: list[PlacementUnit] = []
+        guard = self._planner_state.late_start_guard
+        if guard is not None and not guard.is_needed:
+            guard = None
         for unit in self._state.waiting_units():
             key = get_step_key(unit)
             if key not in is_ready_by_step:
@@ -79,7 +82,7 @@
                 is_ready_by_step[key]
                 and unit.key not in launching_assignments
                 and not has_used_up_attempts(unit, self.get_policy(unit.job))
-                and self._planner_state.may_place(unit)
+                and (guard is None or guard.may_place(unit))
             ):
                 ready_units.append(unit)
         return ready_units
--- a/lagoonbeam/site/scheduler.py
+++ b/lagoonbeam/site/scheduler.py
@@ -139,7 +139,7 @@
             decisions,
             self._advice,
             policies=policies,
-            may_place=self._late_start_guard.may_place,
+            late_start_guard=self._late_start_guard,
         )
         self._termination_recorder = TerminationRecorder(
             lambda: self.state,
--- a/tests/site/test_session.py
+++ b/tests/site/test_session.py
@@ -66,6 +66,8 @@
     ) -> PollReply:
         await anyio.sleep(0.001)
         if not self.replies:
+            # Orders that were sent before are carried out.
+            await anyio.sleep(0.05)
             self.on_exhausted()
             await anyio.sleep_forever()
         self.acked.append(acked_sequence)
