Cover what the product's own interface hides beside the scope of a call

Cause: the mutation of its check of the organisation had become green, as the scope now refuses jobs of other organisations before it; what the check alone hides are jobs of no organisation, which no test covered.

Result: the mutation is red; tests/site/test_job_api.py passes.

--- a/harness/site_mutations.py
+++ b/harness/site_mutations.py
@@ -246,11 +246,10 @@
         "::test_idempotency_key_names_one_job_and_rejects_another_body",
     ),
     Mutation(
-        "site: jobs of other organisations are hidden",
+        "site: jobs of no organisation are hidden",
         "lagoonbeam/site/job_api.py",
         "        if entry.request.organisation != organisation.name:",
         "        if False:",
-        "tests/site/test_job_api.py"
-        "::test_jobs_of_other_organisations_are_hidden",
+        "tests/site/test_job_api.py::test_jobs_of_no_organisation_are_hidden",
     ),
 ]
--- a/tests/site/test_job_api.py
+++ b/tests/site/test_job_api.py
@@ -18,6 +18,7 @@
 from lagoonbeam.site.model import Configuration, Organisation, RunEndReason
 from lagoonbeam.site.platform_interface import JournalWriter
 from lagoonbeam.site.records import (
+    JobAccepted,
     Placement,
     RunEnd,
     RunsEnded,
@@ -25,7 +26,7 @@
     TermRenewed,
     encode_record,
 )
-from tests.site.builders import make_configuration
+from tests.site.builders import make_configuration, make_job
 from tests.site.test_journal_appender import FakeJournalStore
 
 JOB_BODY = {"caller": "saw-3", "kind": "q1", "idempotent": True}
@@ -172,6 +173,20 @@
     run_scenario(scenario)
 
 
+def test_jobs_of_no_organisation_are_hidden() -> None:
+    """They came by a public route, whose callers have no key."""
+
+    async def scenario(fixture: ApiFixture) -> None:
+        job = make_job("a" * 16, organisation="")
+        fixture.follower.state.apply(JobAccepted(job))
+        for method in ("GET", "DELETE"):
+            path = f"/v1/jobs/{job.job_id}"
+            hidden = await fixture.send_request(method, path)
+            assert get_error_code(hidden) == "unknown_job"
+
+    run_scenario(scenario)
+
+
 def test_cancellation_is_reported() -> None:
     async def scenario(fixture: ApiFixture) -> None:
         job = await fixture.submit()
