Name the guard of a late start's mutation without doubt

Cause: an early return added the same line a second time, so the mutation found its guard twice and did not run.

Change: the mutation names the line in its method.

--- a/harness/presumed_end_mutations.py
+++ b/harness/presumed_end_mutations.py
@@ -184,8 +184,8 @@
     Mutation(
         "site: a new incarnation is asked to refuse late starts",
         "lagoonbeam/site/late_starts/late_start_refusals.py",
-        "        self._refused.clear()",
-        "        pass",
+        'knows none of them."""\n        self._refused.clear()',
+        'knows none of them."""',
         "tests/site/test_late_start_refusals.py"
         "::test_next_incarnation_is_asked_to_refuse_the_start_again",
     ),
